--- /dev/null
+++ b/internal/reducer/record.go
@@ -0,0 +1,129 @@
+package reducer
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/guavastall/guavastall/pkg/checker"
+)
+
+// Format is the record format that this build writes. It reads it and every
+// lower one.
+const Format = 1
+
+// ErrFormat reports a record of a format that this build cannot read. The node
+// must keep the state it has and report itself behind.
+var ErrFormat = errors.New("record has a newer format than this build reads")
+
+// ErrTorn reports a record or checkpoint that is incomplete or damaged.
+var ErrTorn = errors.New("record is incomplete or damaged")
+
+// Record is one entry of the configuration stream.
+type Record struct {
+	// ID is made by the client and is equal in every resend.
+	ID string `json:"id"`
+	// Base is the revision the publication builds on.
+	Base checker.Revision `json:"base"`
+	// Time is the wall time at the node that appended the record.
+	Time time.Time `json:"time"`
+	// Facts are joined before the rest of the record is folded.
+	Facts []Fact `json:"facts,omitempty"`
+	// Document replaces the whole configuration.
+	Document *checker.Document `json:"document,omitempty"`
+	// Choose changes the choice of one service.
+	Choose *Choose `json:"choose,omitempty"`
+}
+
+// Choose changes the choice of one service; empty fields stay as they are.
+type Choose struct {
+	Service  checker.Service `json:"service"`
+	Profile  string          `json:"profile,omitempty"`
+	Version  checker.Version `json:"version,omitempty"`
+	Deadline time.Time       `json:"deadline,omitzero"`
+}
+
+// frameLength is the length of the frame header: format and checksum.
+const frameLength = 2 + 8
+
+// Encode writes a record in the current format.
+func Encode(rec Record) ([]byte, error) {
+	return encodeFrame(rec)
+}
+
+// Decode reads a record. The error is [ErrFormat] for a newer format and
+// [ErrTorn] for a damaged record.
+func Decode(data []byte) (Record, error) {
+	var rec Record
+	err := decodeFrame(data, &rec)
+	return rec, err
+}
+
+// encodeFrame writes the format, a checksum and the JSON form of a value.
+func encodeFrame(value any) ([]byte, error) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return nil, fmt.Errorf("encode record: %w", err)
+	}
+	data := make([]byte, frameLength, frameLength+len(body))
+	binary.BigEndian.PutUint16(data, Format)
+	binary.BigEndian.PutUint64(data[2:], xxhash.Sum64(body))
+	return append(data, body...), nil
+}
+
+// decodeFrame reads a value that encodeFrame wrote.
+func decodeFrame(data []byte, value any) error {
+	if len(data) < frameLength {
+		return ErrTorn
+	}
+	body := data[frameLength:]
+	if binary.BigEndian.Uint64(data[2:]) != xxhash.Sum64(body) {
+		return ErrTorn
+	}
+	if binary.BigEndian.Uint16(data) > Format {
+		return ErrFormat
+	}
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(value); err != nil {
+		return fmt.Errorf("%w: %w", ErrTorn, err)
+	}
+	return nil
+}
+
+// Checkpoint writes the part of the state that the log decides.
+func (st *State) Checkpoint() ([]byte, error) {
+	return encodeFrame(st.logged)
+}
+
+// LoadCheckpoint reads a state that [State.Checkpoint] wrote.
+func LoadCheckpoint(data []byte) (*State, error) {
+	var lo logged
+	if err := decodeFrame(data, &lo); err != nil {
+		return nil, err
+	}
+	if lo.Document != nil {
+		if faults := checker.Check(lo.Document); len(faults) > 0 {
+			return nil, fmt.Errorf("checkpoint: %w", faults)
+		}
+	}
+	return (&State{}).withLogged(lo), nil
+}
+
+// Adopt returns the newer of the state and a checkpoint, with the facts of
+// both. It never returns a state with a lower offset or revision.
+func (st *State) Adopt(other *State) *State {
+	base, extra := st, other
+	if other.logged.Next > st.logged.Next && other.logged.Revision >= st.logged.Revision {
+		base, extra = st.withLogged(other.logged), other
+	}
+	for _, fa := range extra.Facts() {
+		base = base.Join(fa)
+	}
+	return base
+}
--- /dev/null
+++ b/internal/reducer/reducer.go
@@ -0,0 +1,296 @@
+// Package reducer folds the records of the platform's log into the
+// configuration state.
+//
+// The fold is deterministic: nodes that have folded the same records hold the
+// same logged state, so each record is accepted or refused alike everywhere
+// and no lock or leader is needed. A [State] is immutable; [State.Apply] and
+// [State.Join] return a new one.
+//
+// Facts about moves and data centres form join semilattices. They reach a node
+// through the log and also directly from its peers, in any order and any
+// number of times. The acceptance of records and the start of moves depend on
+// the facts in the log alone.
+package reducer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/guavastall/guavastall/internal/asserter"
+	"github.com/guavastall/guavastall/pkg/checker"
+)
+
+const (
+	// resultLimit bounds the remembered publication results. A resend after a
+	// lost answer follows within seconds, long before as many others.
+	resultLimit = 1024
+	// endedMoveLimit bounds the ended moves kept for reports.
+	endedMoveLimit = 64
+	// moveIDBits leaves room for as many moves in one record as a document
+	// may hold services.
+	moveIDBits = 10
+)
+
+// State is the configuration state after a number of records. It is immutable
+// and safe for concurrent use. The zero value is the state before any record.
+type State struct {
+	logged logged
+	heard  facts
+
+	// view is the join of the logged and the heard facts.
+	view facts
+}
+
+// logged is the part of the state that the records alone decide.
+type logged struct {
+	Next      uint64                               `json:"next"`
+	Revision  checker.Revision                     `json:"revision"`
+	Document  *checker.Document                    `json:"document,omitempty"`
+	ChangedAt map[checker.Service]checker.Revision `json:"changedAt,omitempty"`
+	Moves     map[checker.MoveID]Move              `json:"moves,omitempty"`
+	Results   []Result                             `json:"results,omitempty"`
+	Facts     facts                                `json:"facts"`
+}
+
+// Result says what became of a publication.
+type Result struct {
+	// ID is the publication's client-made ID.
+	ID string `json:"id"`
+	// Offset is the place of the record in the log.
+	Offset uint64 `json:"offset"`
+	// Accepted says that the record changed the configuration.
+	Accepted bool `json:"accepted"`
+	// Stale says that the record was refused for its base revision.
+	Stale bool `json:"stale,omitempty"`
+	// Revision is the revision after the record.
+	Revision checker.Revision `json:"revision"`
+	// Problem says why the record was refused.
+	Problem string `json:"problem,omitempty"`
+}
+
+// Move is the rollout of a target version.
+type Move struct {
+	// ID is the revision of the record that started the move.
+	ID checker.MoveID `json:"id"`
+	// Service is the service that moves.
+	Service checker.Service `json:"service"`
+	// From is the version that serves until the move is done.
+	From checker.Version `json:"from"`
+	// To is the new version.
+	To checker.Version `json:"to"`
+	// Started is the wall time of the record that started the move.
+	Started time.Time `json:"started"`
+	// Deadline is the time by which the move must be done; zero means none.
+	Deadline time.Time `json:"deadline,omitzero"`
+	// Superseded says that a later move of the service replaced this one.
+	Superseded bool `json:"superseded,omitempty"`
+}
+
+// Phase is the phase of a move.
+type Phase string
+
+// The phases of a move.
+const (
+	Pending    Phase = "pending"
+	Done       Phase = "done"
+	TakenBack  Phase = "takenBack"
+	Superseded Phase = "superseded"
+)
+
+// Progress is a move and how far it has come.
+type Progress struct {
+	Move
+	// Phase is the phase of the move.
+	Phase Phase `json:"phase"`
+	// Reason says why the move was taken back.
+	Reason string `json:"reason,omitempty"`
+	// Steps holds the step each data centre has reached; step n of the
+	// profile's list is n+1, and 0 is no traffic.
+	Steps map[checker.DataCentre]int `json:"steps,omitempty"`
+}
+
+// Split says how the calls of a service divide between two versions.
+type Split struct {
+	// Move identifies the open move; zero if there is none.
+	Move checker.MoveID
+	// Old serves all calls but the share of New.
+	Old checker.Version
+	// New is the version that an open move leads to, else empty.
+	New checker.Version
+	// Share is the share of calls for New, 0 to 1.
+	Share float64
+}
+
+// Next returns the offset of the next record to fold.
+func (st *State) Next() uint64 { return st.logged.Next }
+
+// Revision returns the configuration revision.
+func (st *State) Revision() checker.Revision { return st.logged.Revision }
+
+// Document returns the configuration in force, or nil if there is none.
+// The caller must not change it.
+func (st *State) Document() *checker.Document { return st.logged.Document }
+
+// Result returns what became of the publication with the ID, and whether the
+// state remembers it.
+func (st *State) Result(id string) (Result, bool) {
+	for _, re := range slices.Backward(st.logged.Results) {
+		if re.ID == id {
+			return re, true
+		}
+	}
+	return Result{}, false
+}
+
+// Moves returns the moves with their progress, in the order they started.
+func (st *State) Moves() []Progress {
+	list := make([]Progress, 0, len(st.logged.Moves))
+	for _, id := range slices.Sorted(maps.Keys(st.logged.Moves)) {
+		list = append(list, st.progress(st.logged.Moves[id], st.view))
+	}
+	return list
+}
+
+// Move returns the move with the ID, and whether the state knows it.
+func (st *State) Move(id checker.MoveID) (Progress, bool) {
+	mo, ok := st.logged.Moves[id]
+	if !ok {
+		return Progress{}, false
+	}
+	return st.progress(mo, st.view), true
+}
+
+func (st *State) progress(mo Move, fs facts) Progress {
+	pr := Progress{Move: mo, Phase: phaseOf(mo, fs), Reason: fs.TakenBack[mo.ID]}
+	pr.Steps = maps.Clone(fs.Steps[mo.ID])
+	return pr
+}
+
+func phaseOf(mo Move, fs facts) Phase {
+	if _, ok := fs.TakenBack[mo.ID]; ok {
+		return TakenBack
+	}
+	switch {
+	case fs.Done[mo.ID]:
+		return Done
+	case mo.Superseded:
+		return Superseded
+	default:
+		return Pending
+	}
+}
+
+// Marks returns the data centre marks in force. The caller must not change it.
+func (st *State) Marks() map[checker.DataCentre]DataCentreMark { return st.view.Marks }
+
+// Out reports whether operators have taken the data centre out.
+func (st *State) Out(dc checker.DataCentre) bool { return st.view.Marks[dc].Out }
+
+// Split returns how the calls of the service divide in the data centre.
+func (st *State) Split(se checker.Service, dc checker.DataCentre) Split {
+	if st.logged.Document == nil {
+		return Split{}
+	}
+	mo, ok := lastMove(st.logged.Moves, se)
+	if !ok {
+		return Split{Old: st.logged.Document.Services[se].Version}
+	}
+	switch phaseOf(mo, st.view) {
+	case Done:
+		return Split{Old: mo.To}
+	case TakenBack:
+		return Split{Old: mo.From}
+	}
+	return Split{Move: mo.ID, Old: mo.From, New: mo.To, Share: st.share(mo, dc)}
+}
+
+// share returns the share of new calls at the step the data centre has reached.
+func (st *State) share(mo Move, dc checker.DataCentre) float64 {
+	steps := st.Steps(mo.Service)
+	step := min(st.view.Steps[mo.ID][dc], len(steps))
+	if step <= 0 {
+		return 0
+	}
+	return steps[step-1]
+}
+
+// Steps returns the rollout steps of the service's profile.
+func (st *State) Steps(se checker.Service) []float64 {
+	if st.logged.Document == nil {
+		return nil
+	}
+	co := st.logged.Document.Services[se]
+	return st.logged.Document.Profiles[co.Profile].Rollout.Steps
+}
+
+// lastMove returns the newest move of the service, and whether there is one.
+func lastMove(moves map[checker.MoveID]Move, se checker.Service) (Move, bool) {
+	var last Move
+	for id, mo := range moves {
+		if mo.Service == se && id > last.ID {
+			last = mo
+		}
+	}
+	return last, last.ID != 0
+}
+
+// Join adds a fact heard from a peer. It returns the same state if the fact is
+// already known or belongs to a move that the fold has passed and forgotten.
+func (st *State) Join(fa Fact) *State {
+	if st.forgotten(fa) {
+		return st
+	}
+	joined, changed := st.view.join(fa)
+	if !changed {
+		return st
+	}
+	next := *st
+	next.heard, _ = st.heard.join(fa)
+	next.view = joined
+	return &next
+}
+
+// forgotten reports whether the fact names a move that the fold has passed
+// and no longer keeps.
+func (st *State) forgotten(fa Fact) bool {
+	id := fa.move()
+	if id == 0 || uint64(id>>moveIDBits) > st.logged.Next {
+		return false
+	}
+	_, known := st.logged.Moves[id]
+	return !known
+}
+
+// Facts returns every fact the state knows, in a fixed order.
+func (st *State) Facts() []Fact { return st.view.list() }
+
+// Unlogged returns the facts heard from peers that the log does not hold yet.
+func (st *State) Unlogged() []Fact {
+	var missing []Fact
+	for _, fa := range st.heard.list() {
+		if st.forgotten(fa) {
+			continue
+		}
+		if _, changed := st.logged.Facts.join(fa); changed {
+			missing = append(missing, fa)
+		}
+	}
+	return missing
+}
+
+// NextMark returns the mark that takes the data centre out or in, with an
+// epoch above every mark this state knows.
+func (st *State) NextMark(dc checker.DataCentre, out bool) DataCentreMark {
+	return DataCentreMark{DataCentre: dc, Epoch: st.view.Marks[dc].Epoch + 1, Out: out}
+}
+
+// withLogged returns the state with a new logged part.
+func (st *State) withLogged(lo logged) *State {
+	asserter.That(lo.Revision >= st.logged.Revision, "revisionNeverDecreases",
+		"revision %d after %d", lo.Revision, st.logged.Revision)
+	next := &State{logged: lo, heard: st.heard}
+	next.heard = next.heard.without(next.forgotten)
+	next.view = lo.Facts.joinAll(next.heard)
+	return next
+}
--- a/pkg/checker/checker.go
+++ b/pkg/checker/checker.go
@@ -26,7 +26,8 @@
 // that changed the configuration, plus one. Zero means no configuration.
 type Revision uint64
 
-// MoveID identifies a rollout: the revision of the record that started it.
+// MoveID identifies a move, the rollout of a target version. Later moves have
+// greater IDs; zero is no move.
 type MoveID uint64
 
 // NodeID identifies a node by the address its peers reach it at.
