Add the operator interface, its client and the operator's commands

Cause: operators had no way to check, publish, choose or follow moves. Before: only the version command.

--- a/cmd/guavastall/main.go
+++ b/cmd/guavastall/main.go
@@ -1,10 +1,18 @@
 // Command guavastall runs a node of the mesh and the operator's commands.
+//
+// Exit codes: 0 done; 1 internal error; 2 bad input; 3 refused for now;
+// 4 not authorised; 5 built on a stale revision; 6 the platform's log is away,
+// or the node cannot be reached; 7 not in force everywhere within the wait.
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alexflint/go-arg"
 )
@@ -12,31 +20,69 @@
 // version is the version printed by the version command.
 const version = "0.1.0"
 
+// Exit codes that no error kind gives.
+const (
+	exitInternal      = 1
+	exitUsage         = 2
+	exitUnreachable   = 6
+	exitNotEverywhere = 7
+)
+
 type versionCmd struct{}
 
+// arguments are the command line; exactly one command is set.
 type arguments struct {
-	Version *versionCmd `arg:"subcommand:version" help:"print the version"`
+	Check      *checkCmd      `arg:"subcommand:check" help:"check a document without publishing it"`
+	Publish    *publishCmd    `arg:"subcommand:publish" help:"publish a document"`
+	Choose     *chooseCmd     `arg:"subcommand:choose" help:"choose a profile or version for a service"`
+	Moves      *movesCmd      `arg:"subcommand:moves" help:"list moves and their progress"`
+	Status     *statusCmd     `arg:"subcommand:status" help:"show the status of a node or the mesh"`
+	DataCentre *dataCentreCmd `arg:"subcommand:datacentre" help:"take a data centre out or in"`
+	Drain      *drainCmd      `arg:"subcommand:drain" help:"stop a node gracefully"`
+	Version    *versionCmd    `arg:"subcommand:version" help:"print the version"`
+}
+
+// Description is shown above the usage.
+func (arguments) Description() string {
+	return "guavastall distributes configuration in a service mesh and routes its calls"
+}
+
+// command is a command of the command line.
+type command interface {
+	// run runs the command and writes its output.
+	run(ctx context.Context, stdout, stderr io.Writer) error
 }
 
 func main() {
-	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
 }
 
-func run(args []string, stdout, stderr io.Writer) int {
+// run runs one command line and returns the exit code.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	var ar arguments
 	parser, err := arg.NewParser(arg.Config{Program: "guavastall", Out: stderr}, &ar)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
-		return 1
+		return exitInternal
 	}
-	if err := parser.Parse(args); err != nil {
-		_, _ = fmt.Fprintln(stderr, err)
-		return 2
+	switch err := parser.Parse(args); {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...)
+		return 0
+	case err != nil:
+		_, _ = fmt.Fprintln(stderr, "guavastall:", err)
+		return exitUsage
 	}
-	if ar.Version != nil {
+	switch cmd := parser.Subcommand().(type) {
+	case *versionCmd:
 		_, _ = fmt.Fprintln(stdout, "guavastall", version)
 		return 0
+	case command:
+		return report(cmd.run(ctx, stdout, stderr), stderr)
+	default:
+		parser.WriteHelp(stderr)
+		return exitUsage
 	}
-	parser.WriteHelp(stderr)
-	return 2
 }
