--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -140,26 +140,3 @@
 	// Reason says why.
 	Reason Reason
 }
-
-// Budget allows a number of retries per first attempt.
-type Budget struct{}
-
-// NewBudget returns a budget that allows ratio retries per first attempt.
-func NewBudget(_ float64) *Budget {
-	return &Budget{}
-}
-
-// First counts the first attempt of a call.
-func (bu *Budget) First() {}
-
-// Next decides what follows a finished attempt. It withdraws from the budget
-// when it allows another attempt.
-func Next(at Attempt, _ *Budget, _ time.Time) Decision {
-	return Decision{Mark: at.Outcome != Answered, Reason: NoAttemptLeft}
-}
-
-// Hedge decides whether a late attempt of an idempotent call gets a second one
-// beside it. It withdraws from the budget when it does.
-func Hedge(_ Attempt, _ *Budget, _ time.Time) Decision {
-	return Decision{Reason: TooEarly}
-}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -122,8 +122,11 @@
 	// Owned says that the call goes to the owner of its key.
 	Owned bool
 
-	keyHash uint64
-	svc     *service
+	keyHash  uint64
+	table    *Table
+	service  *service
+	pool     *pool
+	fallback *pool
 }
 
 // Report is what one response says about the load of a node.
