--- /dev/null
+++ b/internal/forwarder/conn.go
@@ -0,0 +1,120 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/guavastall/guavastall/internal/asserter"
+)
+
+// errSealed is returned by a connection after its call was given up.
+var errSealed = errors.New("the call on this connection was given up")
+
+// sealed is the bit of conn.state that forbids further writes. The other bits
+// count the writes that have sent, or may have sent, at least one byte.
+const sealed = 1 << 63
+
+// conn is a client connection that knows whether a call has written to it.
+type conn struct {
+	net.Conn
+	state atomic.Uint64
+}
+
+// Write counts the write before it begins, so that a call sealed in the
+// meantime is seen as possibly sent.
+func (co *conn) Write(data []byte) (int, error) {
+	if co.state.Add(1)&sealed != 0 {
+		co.state.Add(^uint64(0))
+		return 0, errSealed
+	}
+	nn, err := co.Conn.Write(data)
+	if nn == 0 {
+		co.state.Add(^uint64(0))
+	}
+	return nn, err
+}
+
+// writes returns the number of writes that may have sent a byte.
+func (co *conn) writes() uint64 {
+	return co.state.Load() &^ sealed
+}
+
+// seal forbids further writes and reports whether a byte may have been sent
+// since the count was start. The connection carries no other call afterwards.
+func (co *conn) seal(start uint64) bool {
+	return co.state.Or(sealed)&^sealed != start
+}
+
+// watch records which connection an attempt uses. It tells for certain whether
+// a byte of the attempt has left this node.
+type watch struct {
+	trace httptrace.ClientTrace
+	conn  *conn
+	start uint64
+	wrote bool
+}
+
+func newWatch() *watch {
+	wa := &watch{}
+	wa.trace.GotConn = wa.gotConn
+	return wa
+}
+
+func (wa *watch) gotConn(info httptrace.GotConnInfo) {
+	if wa.conn != nil {
+		// The library moved the request to another connection by itself. It
+		// may do so only while nothing was written.
+		wa.wrote = wa.wrote || wa.conn.writes() != wa.start
+		asserter.That(!wa.wrote, "atMostOnce", "the HTTP library resent a call")
+	}
+	wa.conn, _ = info.Conn.(*conn)
+	if wa.conn != nil {
+		wa.start = wa.conn.writes()
+	}
+}
+
+// seal ends the attempt and reports whether a byte of it may have been sent.
+// No byte is sent afterwards, and the connection is not used again.
+func (wa *watch) seal() bool {
+	if wa.conn == nil {
+		return wa.wrote
+	}
+	wrote := wa.conn.seal(wa.start) || wa.wrote
+	_ = wa.conn.Close()
+	return wrote
+}
+
+// Settings of the connections to peers and to the target.
+const (
+	// idleTimeout is shorter than the idle timeout of Server, so that the
+	// client side closes an idle connection and no call crosses the close.
+	idleTimeout            = 30 * time.Second
+	maxResponseHeaderBytes = 32 << 10
+	keepAlivePeriod        = 15 * time.Second
+)
+
+// newTransport returns the connection pool to one address.
+func newTransport(dialTimeout time.Duration, localAddr net.Addr, conns int) *http.Transport {
+	dialer := &net.Dialer{
+		Timeout: dialTimeout, KeepAlive: keepAlivePeriod, LocalAddr: localAddr,
+	}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			nc, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: nc}, nil
+		},
+		MaxConnsPerHost:        conns,
+		MaxIdleConnsPerHost:    conns,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		DisableCompression:     true,
+	}
+}
--- /dev/null
+++ b/internal/forwarder/gate.go
@@ -0,0 +1,121 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/guavastall/guavastall/internal/answerer"
+	"github.com/guavastall/guavastall/internal/limiter"
+)
+
+// gate admits calls to the target. It keeps the calls that wait for a slot.
+type gate struct {
+	limiter Limiter
+	now     func() time.Time
+
+	mu       sync.Mutex
+	waiting  []chan bool
+	draining bool
+}
+
+// enter takes a slot. It returns nil, or an error of kind Draining,
+// Overloaded, DeadlineExceeded or Cancelled. Each entry ends with leave.
+func (ga *gate) enter(ctx context.Context, deadline time.Time) error {
+	now := ga.now()
+	ga.mu.Lock()
+	if ga.draining {
+		ga.mu.Unlock()
+		return errDraining
+	}
+	if ga.limiter.Offer(now) {
+		ga.mu.Unlock()
+		return nil
+	}
+	wait, ok := ga.limiter.Enqueue(deadline.Sub(now), now)
+	if !ok {
+		ga.mu.Unlock()
+		return errOverloaded
+	}
+	turn := make(chan bool, 1)
+	ga.waiting = append(ga.waiting, turn)
+	ga.mu.Unlock()
+
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case admitted := <-turn:
+		return admittedError(admitted)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if nn := slices.Index(ga.waiting, turn); nn >= 0 {
+		ga.waiting = slices.Delete(ga.waiting, nn, nn+1)
+		ga.limiter.Leave(ga.now())
+		switch {
+		case ctx.Err() != nil:
+			return contextError(ctx)
+		case !ga.now().Before(deadline):
+			return errDeadline
+		}
+		return errOverloaded
+	}
+	// The turn came at the same moment.
+	return admittedError(<-turn)
+}
+
+func admittedError(admitted bool) error {
+	if admitted {
+		return nil
+	}
+	return errDraining
+}
+
+// leave gives the slot back and admits the calls that wait.
+func (ga *gate) leave(re limiter.Result) {
+	now := ga.now()
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.limiter.Done(re, now)
+	for len(ga.waiting) > 0 && ga.limiter.Advance(now) {
+		ga.waiting[0] <- true
+		ga.waiting = ga.waiting[1:]
+	}
+}
+
+// drain rejects all calls from now on, including those that wait.
+func (ga *gate) drain() {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.draining = true
+	for _, turn := range ga.waiting {
+		ga.limiter.Leave(ga.now())
+		turn <- false
+	}
+	ga.waiting = nil
+}
+
+func (ga *gate) isDraining() bool {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.draining
+}
+
+var (
+	errDraining   = answerer.New(answerer.Draining, "the node is leaving")
+	errOverloaded = answerer.New(answerer.Overloaded, "the concurrency limit is reached")
+	errDeadline   = answerer.New(answerer.DeadlineExceeded, "the deadline of the call passed")
+	errCancelled  = answerer.New(answerer.Cancelled, "the caller left")
+)
+
+// contextError returns the error for a context that has ended.
+func contextError(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return errDeadline
+	}
+	return errCancelled
+}
--- /dev/null
+++ b/internal/forwarder/reply.go
@@ -0,0 +1,184 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"github.com/guavastall/guavastall/internal/answerer"
+	"github.com/guavastall/guavastall/internal/asserter"
+	"github.com/guavastall/guavastall/internal/limiter"
+	"github.com/guavastall/guavastall/internal/retrier"
+	"github.com/guavastall/guavastall/internal/router"
+)
+
+// reply is what came of one attempt. Its body, if the outcome is Answered, is
+// still to be read; finish ends it in every case.
+type reply struct {
+	outcome retrier.Outcome
+	// err has the kind of a failure; nil if the outcome is Answered.
+	err error
+	// marked says that the failure was already retried below.
+	marked bool
+	// resp is the response of an answered attempt.
+	resp *http.Response
+	// report is what the response says about the node's load.
+	report router.Report
+	// local says that the attempt went to the own target.
+	local bool
+	// admitted says that the attempt holds a slot of the gate.
+	admitted bool
+
+	endpoint router.Endpoint
+	began    time.Time
+	watch    *watch
+	cancel   context.CancelFunc
+	atEOF    bool
+}
+
+// roundTrip sends the request and sorts the failures of the connection. It
+// reports whether a response head arrived.
+func (rp *reply) roundTrip(ctx context.Context, ca *call, tr *http.Transport, ho hop) bool {
+	rp.watch = newWatch()
+	ctx = httptrace.WithClientTrace(ctx, &rp.watch.trace)
+	//nolint:bodyclose // abandon closes it
+	resp, err := tr.RoundTrip(ca.outgoing(ctx, ho, rp.began))
+	if err == nil {
+		rp.resp = resp
+		rp.atEOF = resp.Body == http.NoBody
+		return true
+	}
+	rp.outcome = retrier.NotRun
+	if rp.watch.seal() {
+		rp.outcome = retrier.Unknown
+	}
+	switch {
+	case ca.body.stream != nil && ca.body.stream.over.Load():
+		rp.err = errTooLarge
+	case ctx.Err() != nil:
+		rp.err = contextError(ctx)
+	case rp.outcome == retrier.NotRun:
+		rp.err = answerer.Wrap(err, answerer.NoTarget, "connect to "+ho.to.String())
+	default:
+		rp.err = answerer.Wrap(err, answerer.OutcomeUnknown, "call "+ho.to.String())
+	}
+	return false
+}
+
+// framed reports whether the end of the response can be told from a broken
+// connection: it has a length, chunks, or no body at all.
+func framed(resp *http.Response) bool {
+	if resp.ContentLength >= 0 || resp.Body == http.NoBody {
+		return true
+	}
+	return len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
+}
+
+// fromTarget sorts the response of the target.
+func (rp *reply) fromTarget() {
+	if rp.resp.StatusCode < http.StatusOK || !framed(rp.resp) {
+		rp.abandon()
+		rp.outcome = retrier.Unknown
+		rp.err = answerer.New(answerer.OutcomeUnknown,
+			"the target's response has no length or chunks, so its end cannot be told")
+		return
+	}
+	rp.outcome = retrier.Answered
+}
+
+// maxMessageBytes bounds the error body that is read from another node.
+const maxMessageBytes = 4 << 10
+
+// fromPeer sorts the response of the target's node.
+func (rp *reply) fromPeer(id string) {
+	head := rp.resp.Header
+	farewell := rp.resp.StatusCode == http.StatusRequestTimeout && rp.resp.Close &&
+		head.Get(headerError) == answerer.Draining.String()
+	if echo := head.Get(headerHop); echo != id && !farewell {
+		asserter.That(echo == "", "ownResponse", "response of call %q to call %q", echo, id)
+		rp.abandon()
+		rp.outcome = retrier.Unknown
+		rp.err = answerer.New(answerer.OutcomeUnknown,
+			"the peer's response does not belong to the call")
+		return
+	}
+	parseLoad(head.Get(headerLoad), &rp.report)
+	rp.outcome = retrier.ParseOutcome(head.Get(headerOutcome))
+	if rp.outcome == retrier.Answered {
+		if rp.resp.StatusCode >= http.StatusOK && framed(rp.resp) {
+			return
+		}
+		rp.abandon()
+		rp.outcome = retrier.Unknown
+		rp.err = answerer.New(answerer.OutcomeUnknown, "the peer's response is not framed")
+		return
+	}
+	ki, known := answerer.ParseKind(head.Get(headerError))
+	if !known {
+		ki = answerer.OutcomeUnknown
+	}
+	rp.marked = head.Get(headerRetried) == "true"
+	rp.report.Rejected = ki == answerer.Overloaded || ki == answerer.Draining
+	rp.err = answerer.New(ki, readMessage(rp))
+	rp.abandon()
+}
+
+// abandon gives up what is left of the response. The connection is not used
+// again unless the response was read to its end.
+func (rp *reply) abandon() {
+	if rp.resp == nil {
+		return
+	}
+	if !rp.atEOF {
+		rp.watch.seal()
+	}
+	_ = rp.resp.Body.Close()
+}
+
+// Read reads the body of the response and notes its end.
+func (rp *reply) Read(data []byte) (int, error) {
+	nn, err := rp.resp.Body.Read(data)
+	if err == io.EOF {
+		rp.atEOF = true
+	}
+	return nn, err
+}
+
+// ending says how an attempt ended.
+type ending uint8
+
+const (
+	complete ending = iota
+	broken
+	cancelled
+)
+
+// endOf returns the ending of an attempt that brought no response to pass on.
+func (rp *reply) endOf() ending {
+	if rp.err != nil && answerer.KindOf(rp.err) == answerer.Cancelled {
+		return cancelled
+	}
+	return broken
+}
+
+// leave gives back the slot at the own target.
+func (fw *Forwarder) leave(rp *reply, en ending) {
+	if !rp.admitted {
+		return
+	}
+	rp.admitted = false
+	re := limiter.Result{Latency: fw.config.Now().Sub(rp.began), Status: limiter.Failed}
+	switch {
+	case en == cancelled:
+		re.Status = limiter.Cancelled
+	case en == complete && rp.resp.StatusCode < http.StatusInternalServerError &&
+		rp.resp.StatusCode != http.StatusTooManyRequests:
+		re.Status = limiter.OK
+	case en == complete && (rp.resp.StatusCode == http.StatusServiceUnavailable ||
+		rp.resp.StatusCode == http.StatusTooManyRequests):
+		re.Status = limiter.Shed
+	}
+	fw.gate.leave(re)
+}
--- /dev/null
+++ b/internal/forwarder/respond.go
@@ -0,0 +1,149 @@
+package forwarder
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/guavastall/guavastall/internal/answerer"
+	"github.com/guavastall/guavastall/internal/recorder"
+	"github.com/guavastall/guavastall/internal/retrier"
+)
+
+// failure is what a caller or another node is told instead of a response.
+type failure struct {
+	err     error
+	outcome retrier.Outcome
+	marked  bool
+}
+
+// reject answers a call of which nothing was sent.
+func (fw *Forwarder) reject(w http.ResponseWriter, ca *call, err error) {
+	fw.fail(w, ca, failure{err: err, outcome: retrier.NotRun})
+}
+
+// errorBody is the JSON body of an error response.
+type errorBody struct {
+	Error   string `json:"error"`
+	Message string `json:"message"`
+}
+
+// fail answers with an error. The call may be nil if it could not be parsed.
+func (fw *Forwarder) fail(w http.ResponseWriter, ca *call, fa failure) {
+	ki := answerer.KindOf(fa.err)
+	de := recorder.Decision{Name: "fail", Result: ki.String(), Detail: fa.err.Error()}
+	if ca != nil {
+		de.Call, de.Service = ca.id, ca.service
+	}
+	fw.parts.Log.Record(de)
+	body := encodeError(ki, fa.err.Error())
+	header := w.Header()
+	header[headerError] = []string{ki.String()}
+	header[headerOutcome] = []string{fa.outcome.String()}
+	if fa.marked {
+		header[headerRetried] = []string{"true"}
+	}
+	header[headerContent] = []string{"application/json"}
+	header["Content-Length"] = []string{strconv.Itoa(len(body))}
+	fw.setLoad(header)
+	if ki == answerer.BadRequest || fw.gate.isDraining() {
+		header[headerClose] = []string{"close"}
+	}
+	w.WriteHeader(ki.Answer().Status)
+	_, _ = w.Write(body)
+}
+
+func encodeError(ki answerer.Kind, message string) []byte {
+	body, err := json.Marshal(errorBody{ki.String(), message})
+	if err != nil {
+		return []byte(`{"error":"internal","message":"the error has no text"}`)
+	}
+	return body
+}
+
+// setLoad reports the load of the own target.
+func (fw *Forwarder) setLoad(header http.Header) {
+	if fw.config.Target == nil {
+		return
+	}
+	li := fw.parts.Limiter
+	header[headerLoad] = []string{formatLoad(li.InFlight(), li.Limit(), li.Cold())}
+}
+
+// readMessage reads the message of an error body from another node.
+func readMessage(body io.Reader) string {
+	data, err := io.ReadAll(io.LimitReader(body, maxMessageBytes))
+	var eb errorBody
+	if err != nil || json.Unmarshal(data, &eb) != nil || eb.Message == "" {
+		return "the peer gave no message"
+	}
+	return eb.Message
+}
+
+// copyBytes is the size of the copy buffers; a call holds one while its
+// response passes through.
+const copyBytes = 16 << 10
+
+var buffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+
+// relay passes an answered attempt on. It calls finish with the ending. A
+// response that breaks off on the way ends the connection to the sender of the
+// call, so that it never looks complete.
+func (fw *Forwarder) relay(w http.ResponseWriter, ca *call, rp *reply, finish func(ending)) {
+	header := w.Header()
+	copyResponseHeader(header, rp.resp.Header, rp.local)
+	header[headerOutcome] = []string{retrier.Answered.String()}
+	if rp.local {
+		header[headerVersion] = []string{string(fw.config.Target.Version)}
+		fw.setLoad(header)
+	}
+	if fw.gate.isDraining() {
+		header[headerClose] = []string{"close"}
+	}
+	w.WriteHeader(rp.resp.StatusCode)
+	en := complete
+	if !rp.atEOF {
+		en = rp.copyBody(w)
+	}
+	if en != complete && ca.request.Context().Err() != nil {
+		en = cancelled
+	}
+	rp.abandon()
+	finish(en)
+	if en != complete {
+		fw.parts.Log.Record(recorder.Decision{
+			Name: "abort", Result: "truncated", Call: ca.id, Service: ca.service,
+		})
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// copyBody copies the body of the response. Chunks of unknown length are
+// passed on at once.
+func (rp *reply) copyBody(w http.ResponseWriter) ending {
+	buffer := buffers.Get().(*[copyBytes]byte)
+	defer buffers.Put(buffer)
+	var flusher http.Flusher
+	if rp.resp.ContentLength < 0 {
+		flusher, _ = w.(http.Flusher)
+	}
+	for {
+		nn, err := rp.Read(buffer[:])
+		if nn > 0 {
+			if _, werr := w.Write(buffer[:nn]); werr != nil {
+				return cancelled
+			}
+			if flusher != nil {
+				flusher.Flush()
+			}
+		}
+		if rp.atEOF {
+			return complete
+		}
+		if err != nil {
+			return broken
+		}
+	}
+}
