Add linker, the net/rpc links between nodes

Cause: gossip, distribution and rollout evidence need calls between nodes over the peer port, with bounded resources on both sides and a defence against links that go silent without closing. Before: nothing. After: Pool and Server with framed gob, a shared secret at CONNECT, deadlines on every read and write, counted bytes, and one fresh connection for repeatable methods after a time-out. Conclusion: repetition is opt-in by method or receiver name through MarkRepeatable; gob lengths are checked against the frame before decoding, because the decoder allocates what a peer claims.

--- /dev/null
+++ b/internal/linker/linker_test.go
@@ -0,0 +1,283 @@
+package linker
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavastall/guavastall/pkg/checker"
+)
+
+// Echo is the receiver of the tests.
+type Echo struct {
+	calls atomic.Int64
+	block chan struct{}
+}
+
+func (ec *Echo) Say(args string, reply *string) error {
+	ec.calls.Add(1)
+	*reply = args
+	return nil
+}
+
+func (ec *Echo) Fail(string, *string) error { return errors.New("refused") }
+
+func (ec *Echo) Block(string, *string) error {
+	<-ec.block
+	return nil
+}
+
+// serve starts a server with an Echo on a loopback port.
+func serve(t *testing.T, co Config) (checker.NodeID, *Echo, *Server) {
+	ec := &Echo{block: make(chan struct{})}
+	sv := NewServer(co)
+	require.NoError(t, sv.Register("Echo", ec))
+	hs := httptest.NewServer(sv)
+	t.Cleanup(func() {
+		close(ec.block)
+		sv.Close()
+		hs.Close()
+	})
+	return netip.MustParseAddrPort(hs.Listener.Addr().String()), ec, sv
+}
+
+func newPool(t *testing.T, co Config) *Pool {
+	po := New(co)
+	t.Cleanup(po.Close)
+	return po
+}
+
+// Guards against calls that lose their reply or their error on the way, and
+// against bytes that are not counted on both sides alike.
+func TestCall(t *testing.T) {
+	node, _, sv := serve(t, Config{Secret: "one\r\ntwo"})
+	po := newPool(t, Config{Secret: "one\r\ntwo", LocalIP: netip.MustParseAddr("127.0.0.1")})
+	po.Keep([]checker.NodeID{node})
+	for range 3 {
+		var reply string
+		require.NoError(t, po.Call(t.Context(), node, "Echo.Say", "scan", &reply))
+		require.Equal(t, "scan", reply)
+	}
+	var reply string
+	require.ErrorContains(t, po.Call(t.Context(), node, "Echo.Fail", "", &reply), "refused")
+	require.ErrorContains(t, po.Call(t.Context(), node, "Echo.None", "", &reply), "find method")
+	require.Equal(t, po.Traffic().Out(), sv.Traffic().In())
+	require.Equal(t, po.Traffic().In(), sv.Traffic().Out())
+}
+
+// Guards against a peer without the secret getting a link.
+func TestSecret(t *testing.T) {
+	node, ec, _ := serve(t, Config{Secret: "one"})
+	for _, secret := range []string{"", "two"} {
+		var reply string
+		err := newPool(t, Config{Secret: secret}).Call(t.Context(), node, "Echo.Say", "", &reply)
+		require.ErrorContains(t, err, "403")
+	}
+	require.Zero(t, ec.calls.Load())
+}
+
+// Guards against the pool holding links without bound, and against a closed
+// pool that still dials.
+func TestPoolBounds(t *testing.T) {
+	po := newPool(t, Config{MaxIdle: 2})
+	for range 5 {
+		node, _, _ := serve(t, Config{})
+		var reply string
+		require.NoError(t, po.Call(t.Context(), node, "Echo.Say", "", &reply))
+		require.LessOrEqual(t, len(po.idle), 2)
+	}
+	node, _, _ := serve(t, Config{})
+	po.Close()
+	var reply string
+	require.ErrorIs(t, po.Call(t.Context(), node, "Echo.Say", "", &reply), ErrClosed)
+}
+
+// Guards against a message over the limit being read or sent.
+func TestMessageLimit(t *testing.T) {
+	node, ec, _ := serve(t, Config{MaxMessageBytes: 1000})
+	var reply string
+	long := strings.Repeat("x", 2000)
+	require.Error(t, newPool(t, Config{}).Call(t.Context(), node, "Echo.Say", long, &reply))
+	err := newPool(t, Config{MaxMessageBytes: 1000}).Call(t.Context(), node, "Echo.Say", long, &reply)
+	require.ErrorContains(t, err, "the limit is 1000")
+	require.Zero(t, ec.calls.Load())
+}
+
+// relay passes bytes both ways until stalled; then it reads and drops them
+// without closing anything.
+func relay(t *testing.T, node checker.NodeID) (dial func(context.Context, checker.NodeID) (net.Conn, error), stall func()) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	var epoch atomic.Int64
+	pass := func(from, to net.Conn, born int64) {
+		buf := make([]byte, 4096)
+		for {
+			nn, err := from.Read(buf)
+			if err != nil {
+				_ = to.Close()
+				return
+			}
+			if epoch.Load() == born {
+				_, _ = to.Write(buf[:nn])
+			}
+		}
+	}
+	go func() {
+		for {
+			in, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", node.String())
+			if err != nil {
+				_ = in.Close()
+				continue
+			}
+			born := epoch.Load()
+			go pass(in, out, born)
+			go pass(out, in, born)
+		}
+	}()
+	dial = func(ctx context.Context, _ checker.NodeID) (net.Conn, error) {
+		var di net.Dialer
+		return di.DialContext(ctx, "tcp", ln.Addr().String())
+	}
+	return dial, func() { epoch.Add(1) }
+}
+
+// Guards against a link that went silent without being closed failing calls
+// that a fresh connection would answer, and against repeating a method that is
+// not marked as repeatable.
+func TestSilentLink(t *testing.T) {
+	node, ec, _ := serve(t, Config{})
+	dial, stall := relay(t, node)
+	po := newPool(t, Config{Dial: dial, CallTimeout: 400 * time.Millisecond})
+	po.Keep([]checker.NodeID{node})
+	var reply string
+	require.NoError(t, po.Call(t.Context(), node, "Echo.Say", "", &reply))
+
+	stall()
+	err := po.Call(t.Context(), node, "Echo.Say", "", &reply)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.NoError(t, po.Call(t.Context(), node, "Echo.Say", "", &reply), "the link was not replaced")
+
+	po.MarkRepeatable("Echo")
+	stall()
+	require.NoError(t, po.Call(t.Context(), node, "Echo.Say", "again", &reply))
+	require.Equal(t, "again", reply)
+	require.EqualValues(t, 3, ec.calls.Load())
+}
+
+// Guards against garbage, early and oversized input harming the server.
+func TestGarbagePeer(t *testing.T) {
+	node, _, sv := serve(t, Config{IOTimeout: 200 * time.Millisecond, ServerIdleTimeout: 300 * time.Millisecond})
+	head := connectRequest(node.String(), "")
+	for _, tail := range []string{
+		"\xff\xff\xff\xff", "\x00\x00\x00\x00", "\x00\x00\x00\x04\xf8\x7f\xff\xff", "\x00\x00\x00\x05\x04\x01\x02\x03\x04",
+		"\x00\x00\x10\x00partial", "",
+	} {
+		conn, err := net.Dial("tcp", node.String())
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, head)
+		require.NoError(t, err)
+		buf := make([]byte, len(connected))
+		_, err = io.ReadFull(conn, buf)
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, tail)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, conn)
+		require.NoError(t, err, "the server did not close the link")
+		_ = conn.Close()
+	}
+	var reply string
+	require.NoError(t, newPool(t, Config{}).Call(t.Context(), node, "Echo.Say", "", &reply))
+	require.Equal(t, sv.config.MaxInboundBytes, sv.budget.left)
+}
+
+// Guards against a garbage server harming the client.
+func TestGarbageServer(t *testing.T) {
+	for _, answer := range []string{
+		"nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", 2000), connected + "early",
+	} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		go func() {
+			conn, err := ln.Accept()
+			if err == nil {
+				_, _ = io.WriteString(conn, answer)
+				_, _ = io.Copy(io.Discard, conn)
+				_ = conn.Close()
+			}
+		}()
+		var reply string
+		node := netip.MustParseAddrPort(ln.Addr().String())
+		require.Error(t, newPool(t, Config{}).Call(t.Context(), node, "Echo.Say", "", &reply))
+		_ = ln.Close()
+	}
+}
+
+// Guards against more links or calls than the server's bounds.
+func TestServerBounds(t *testing.T) {
+	node, _, sv := serve(t, Config{MaxInbound: 1, MaxCallsPerLink: 2})
+	po := newPool(t, Config{CallTimeout: 300 * time.Millisecond})
+	var reply string
+	require.NoError(t, po.Call(t.Context(), node, "Echo.Say", "", &reply))
+	require.Error(t, newPool(t, Config{}).Call(t.Context(), node, "Echo.Say", "", &reply))
+	po.Keep([]checker.NodeID{node})
+	done := make(chan error)
+	for range 3 {
+		go func() {
+			var reply string
+			done <- po.Call(t.Context(), node, "Echo.Block", "", &reply)
+		}()
+	}
+	for range 3 {
+		require.Error(t, <-done)
+	}
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	require.LessOrEqual(t, len(sv.links), 1)
+}
+
+// Guards against a method other than CONNECT taking over the connection.
+func TestOtherMethods(t *testing.T) {
+	node, _, _ := serve(t, Config{})
+	rs, err := http.Get("http://" + node.String() + Path)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusMethodNotAllowed, rs.StatusCode)
+	require.NoError(t, rs.Body.Close())
+}
+
+// FuzzFrame guards against input that makes the reader of messages panic or
+// accept lengths beyond the data.
+func FuzzFrame(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 4, 3, 4, 0, 7})
+	f.Add([]byte{0, 0, 0, 2, 0xf8, 1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		near, far := net.Pipe()
+		defer func() { _ = near.Close() }()
+		go func() {
+			_, _ = far.Write(data)
+			_ = far.Close()
+		}()
+		fr := newFramer(near, near, Config{MaxMessageBytes: 1 << 12}.withDefaults(), nil)
+		for {
+			if _, err := fr.read(); err != nil {
+				return
+			}
+			var value struct{ Name string }
+			_ = fr.dec.Decode(&value)
+		}
+	})
+}
