--- /dev/null
+++ b/internal/elector/reader_test.go
@@ -0,0 +1,140 @@
+package elector
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavastall/guavastall/pkg/checker"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func newTestReader(self Member, seed uint64) *Reader {
+	return NewReader(Config{Self: self}, rand.New(rand.NewPCG(seed, 1)), start)
+}
+
+// Guards against a data centre with no reader or with more than two when all
+// nodes know each other.
+func TestTwoReadersPerDataCentre(t *testing.T) {
+	var all []Member
+	for ii := range 90 {
+		all = append(all, Member{node(ii), checker.DataCentre("dc" + string(rune('0'+ii%9)))})
+	}
+	readers := map[checker.DataCentre]int{}
+	late := start.Add(time.Minute)
+	for ii, me := range all {
+		de := newTestReader(me, uint64(ii)).Decide(View{Alive: all}, late)
+		if de.Read {
+			readers[me.DataCentre]++
+			require.Zero(t, de.Wait)
+		}
+	}
+	require.Len(t, readers, 9)
+	for dc, count := range readers {
+		require.Equal(t, DefaultReaders, count, dc)
+	}
+}
+
+// Guards against a data centre whose two readers are alive but do not reach
+// the log, and against every node reading during a log outage.
+func TestSubstitutesRead(t *testing.T) {
+	var all []Member
+	for ii := range 30 {
+		all = append(all, Member{node(ii), "lahore"})
+	}
+	count := func(age time.Duration) int {
+		reading := 0
+		for ii, me := range all {
+			vi := View{Alive: all, LogAge: age}
+			if newTestReader(me, uint64(ii)).Decide(vi, start.Add(time.Hour)).Read {
+				reading++
+			}
+		}
+		return reading
+	}
+	require.Equal(t, 2, count(DefaultPatience))
+	require.Equal(t, 3, count(DefaultPatience+1))
+	require.Equal(t, 2+substitutes, count(time.Hour))
+}
+
+// herd runs 750 restarted nodes in 9 data centres in virtual time and returns
+// the highest number of log requests within one second. Each node learns of
+// more members over the given time; paced says whether it obeys Wait.
+func herd(converge time.Duration, paced bool) int {
+	const size, dataCentres, step = 84, 9, 100 * time.Millisecond
+	// A node asks for announcements, a checkpoint and records; after that
+	// each request is a long poll.
+	const quick, poll = 3, 2 * time.Second
+	var sent []time.Duration
+	var locals []Member
+	for ii := range size {
+		locals = append(locals, Member{node(ii), "lahore"})
+	}
+	for dc := range dataCentres {
+		var readers []*Reader
+		for ii := range size {
+			readers = append(readers, newTestReader(locals[ii], uint64(dc*size+ii)))
+		}
+		due, requests := make([]time.Time, size), make([]int, size)
+		for at := time.Duration(0); at < 30*time.Second; at += step {
+			now := start.Add(at)
+			known := min(size, 1+int(float64(size)*float64(at)/float64(converge)))
+			for ii, rd := range readers {
+				if now.Before(due[ii]) {
+					continue
+				}
+				view := append(slices.Clone(locals[ii:min(ii+known, size)]),
+					locals[:max(0, ii+known-size)]...)
+				de := rd.Decide(View{Alive: view}, now)
+				if !de.Read || paced && de.Wait > 0 {
+					due[ii] = now.Add(max(3*step, min(de.Wait, 5*step)))
+					continue
+				}
+				rd.Sent(now)
+				sent = append(sent, at)
+				if requests[ii]++; requests[ii] > quick {
+					due[ii] = now.Add(poll)
+				}
+			}
+		}
+	}
+	slices.Sort(sent)
+	return peak(sent)
+}
+
+// peak returns the greatest number of times within any one second.
+func peak(sent []time.Duration) int {
+	highest, first := 0, 0
+	for ii := range sent {
+		for sent[ii]-sent[first] >= time.Second {
+			first++
+		}
+		highest = max(highest, ii-first+1)
+	}
+	return highest
+}
+
+// Guards against a mass restart sending more requests to the log than it
+// takes: several hundred a second. The naive rule, where each node reads as
+// soon as it takes itself for a reader, exceeds that.
+func TestHerdStaysWithinBudget(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		converge time.Duration
+	}{
+		{"members known after 5 s", 5 * time.Second},
+		{"members known after 20 s", 20 * time.Second},
+		{"members never known", time.Hour},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			naive, paced := herd(tt.converge, false), herd(tt.converge, true)
+			t.Logf("peak log requests within a second: naive %d, paced %d", naive, paced)
+			require.LessOrEqual(t, paced, 400)
+			require.Greater(t, naive, 2000)
+		})
+	}
+}
