Split the check of the target's settings

Cause: the settings check had a complexity of 16, over the linter's 15. Before: one function. After: a function for the target's part; same faults.

--- a/internal/runner/settings.go
+++ b/internal/runner/settings.go
@@ -63,16 +63,7 @@
 	if se.DataCentre == "" {
 		ch.add("--data-centre", "is missing; write the name of this VM's data centre")
 	}
-	if se.Service != "" {
-		ch.address("--target", se.Target)
-		if se.TargetVersion == "" {
-			ch.add("--target-version", "is missing; a node with a service needs its version")
-		}
-	} else if se.Target.IsValid() {
-		ch.add("--service", "is missing; a node with a target needs its service")
-	}
-	ch.between("--slots", int64(se.Slots), 1, maxSlots)
-	ch.between("--connections", int64(se.Connections), 1, maxSlots)
+	ch.target(se)
 	if !se.PlatformLog.IsValid() && len(se.Seeds) == 0 {
 		ch.add("--platform-log", "is missing; without it and without --seed the node finds no one")
 	}
@@ -103,7 +94,22 @@
 }
 
 func (ch *settingsCheck) add(name, format string, args ...any) {
-	ch.faults = append(ch.faults, checker.Fault{Field: name, Problem: fmt.Sprintf(format, args...)})
+	problem := fmt.Sprintf(format, args...)
+	ch.faults = append(ch.faults, checker.Fault{Field: name, Problem: problem})
+}
+
+// target checks the settings of the target next to the node.
+func (ch *settingsCheck) target(se *Settings) {
+	if se.Service != "" {
+		ch.address("--target", se.Target)
+		if se.TargetVersion == "" {
+			ch.add("--target-version", "is missing; a node with a service needs its version")
+		}
+	} else if se.Target.IsValid() {
+		ch.add("--service", "is missing; a node with a target needs its service")
+	}
+	ch.between("--slots", int64(se.Slots), 1, maxSlots)
+	ch.between("--connections", int64(se.Connections), 1, maxSlots)
 }
 
 func (ch *settingsCheck) address(name string, addr netip.AddrPort) {
