Test the guards of the call path

Cause: the pitfalls of net/http and the reset of connections need a test each that fails without its guard. Before: one test of whole calls. After: tests for resends by the library, the outcome by bytes written, abandoned connections, truncated and unframed responses, disconnects, deadlines with silent peers, slow and large bodies, malformed heads, draining, and resends with a key. A truncated small response was sent on as a broken connection; it is now read ahead and answered as an unknown outcome, which an idempotent call can retry.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -120,15 +120,15 @@
 }
 
 // setDeadlines bounds reading from and writing to the sender of the call, so
-// that a slow or silent sender cannot hold the handler. Both last a little
-// longer than the call, so that its own deadline ends it.
+// that a slow or silent sender cannot hold the handler. Writing lasts a little
+// longer than the call, for the response that says that its time ran out.
 func (ca *call) setDeadlines(w http.ResponseWriter) {
 	rc := http.NewResponseController(w)
-	latest := ca.deadline.Add(graceTime)
-	if ca.deadline.Before(ca.started) {
-		latest = ca.started.Add(graceTime)
+	latest := ca.deadline
+	if latest.Before(ca.started) {
+		latest = ca.started
 	}
-	_ = rc.SetWriteDeadline(latest)
+	_ = rc.SetWriteDeadline(latest.Add(graceTime))
 	if ca.request.ContentLength != 0 {
 		_ = rc.SetReadDeadline(latest)
 	}
@@ -206,7 +206,7 @@
 	ca.body.data = make([]byte, r.ContentLength)
 	ca.body.length = r.ContentLength
 	if _, err := io.ReadFull(r.Body, ca.body.data); err != nil {
-		if ctx.Err() != nil {
+		if ended(ctx) {
 			return contextError(ctx)
 		}
 		return answerer.Wrap(err, answerer.BadRequest, "read the body")
--- a/internal/forwarder/first.go
+++ b/internal/forwarder/first.go
@@ -191,7 +191,7 @@
 	rp := &reply{began: now, endpoint: en}
 	ho.to, ho.id = en.Node, jo.call.id
 	if rp.roundTrip(ctx, jo.call, fw.peer(en.Node), ho) {
-		rp.fromPeer(jo.call.id)
+		rp.fromPeer(ctx, jo.call.id)
 	} else if rp.outcome == retrier.Unknown &&
 		answerer.KindOf(rp.err) == answerer.DeadlineExceeded {
 		// The peer was silent. Its other connections may be dead too, so the
--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -112,9 +112,21 @@
 	errCancelled  = answerer.New(answerer.Cancelled, "the caller left")
 )
 
+// ended reports whether the caller left or the deadline passed. The server
+// cancels the context when its own deadline for reading passes, which is the
+// same time, so the context's error alone does not tell the two apart.
+func ended(ctx context.Context) bool {
+	return ctx.Err() != nil || late(ctx)
+}
+
+func late(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && !time.Now().Before(deadline)
+}
+
 // contextError returns the error for a context that has ended.
 func contextError(ctx context.Context) error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if late(ctx) || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return errDeadline
 	}
 	return errCancelled
--- /dev/null
+++ b/internal/forwarder/guard_test.go
@@ -0,0 +1,465 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavastall/guavastall/internal/answerer"
+	"github.com/guavastall/guavastall/internal/targetserver"
+)
+
+// rawServer gives each accepted connection to the function, with its number.
+func rawServer(tb testing.TB, handle func(nc net.Conn, number int)) netip.AddrPort {
+	ln := listen(tb)
+	var open sync.WaitGroup
+	var mu sync.Mutex
+	var conns []net.Conn
+	open.Go(func() {
+		for number := 0; ; number++ {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns = append(conns, nc)
+			mu.Unlock()
+			open.Go(func() {
+				handle(nc, number)
+				_ = nc.Close()
+			})
+		}
+	})
+	tb.Cleanup(func() {
+		_ = ln.Close()
+		mu.Lock()
+		for _, nc := range conns {
+			_ = nc.Close()
+		}
+		mu.Unlock()
+		open.Wait()
+	})
+	return addrOf(ln)
+}
+
+const plainResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// Guards against http.Transport sending a call again by itself when a reused
+// connection dies after the request was written. It would do so for requests
+// with an idempotency key and without a body, and for GET and its like.
+func TestLibraryNeverResends(t *testing.T) {
+	for _, tt := range []struct {
+		name, method, header string
+		body                 []byte
+	}{
+		{"get", http.MethodGet, "", nil},
+		{"head", http.MethodHead, "", nil},
+		{"options", http.MethodOptions, "", nil},
+		{"trace", http.MethodTrace, "", nil},
+		{"key without body", http.MethodPost, headerKey, nil},
+		{"other key without body", http.MethodPost, headerXKey, nil},
+		{"key with body", http.MethodPost, headerKey, []byte("x")},
+		{"put", http.MethodPut, "", []byte("x")},
+		{"delete", http.MethodDelete, headerKey, nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var seen atomic.Int64
+			address := rawServer(t, func(nc net.Conn, _ int) {
+				rd := bufio.NewReader(nc)
+				for first := true; ; first = false {
+					req, err := http.ReadRequest(rd)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					if req.Header.Get(targetserver.HeaderID) == "b" {
+						seen.Add(1)
+						if !first {
+							return // the connection dies without a response
+						}
+					}
+					_, _ = io.WriteString(nc, plainResponse)
+				}
+			})
+			no := startNode(t, options{target: address})
+			no.setTable(nil, no.id)
+			require.Equal(t, "ok", post(t, no.caller, "/confirm", "a", []byte("x")).body)
+			req := newRequest(t, tt.method, no.caller, "/confirm", "b", tt.body)
+			if tt.header != "" {
+				req.Header.Set(tt.header, "k")
+			}
+			an := do(req)
+			require.Equal(t, "unknown", an.outcome(), an.body)
+			require.Equal(t, int64(1), seen.Load())
+		})
+	}
+}
+
+// Guards against "not run" for a call of which a byte was sent, and against
+// "unknown" where no connection could be opened.
+func TestOutcomeFollowsBytes(t *testing.T) {
+	ln := listen(t)
+	closed := addrOf(ln)
+	require.NoError(t, ln.Close())
+	oneByte := rawServer(t, func(nc net.Conn, _ int) { _, _ = nc.Read(make([]byte, 1)) })
+	for _, tt := range []struct {
+		name    string
+		target  netip.AddrPort
+		kind    answerer.Kind
+		outcome string
+	}{
+		{"refused", closed, answerer.NoTarget, "notRun"},
+		{"one byte read", oneByte, answerer.OutcomeUnknown, "unknown"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			no := startNode(t, options{target: tt.target})
+			no.setTable(nil, no.id)
+			post(t, no.caller, "/confirm", "a", []byte("x")).requireError(t, tt.kind, tt.outcome)
+			first := startNode(t, options{})
+			first.setTable(nil, no.id)
+			post(t, first.caller, "/confirm", "a", []byte("x")).requireError(t, tt.kind, tt.outcome)
+			first.setTable(nil, tt.target)
+			post(t, first.caller, "/confirm", "a", []byte("x")).requireError(t, tt.kind, tt.outcome)
+		})
+	}
+}
+
+// Guards against a write that slips out after its call was reported not run,
+// and against a failed write without a byte being counted as sent.
+func TestSeal(t *testing.T) {
+	near, far := net.Pipe()
+	co := &conn{Conn: near}
+	start := co.writes()
+	require.False(t, co.seal(start))
+	_, err := co.Write([]byte("late"))
+	require.ErrorIs(t, err, errSealed)
+	require.False(t, co.seal(start))
+
+	co = &conn{Conn: near}
+	begun := make(chan error, 1)
+	go func() {
+		_, err := co.Write([]byte("x"))
+		begun <- err
+	}()
+	eventually(t, func() bool { return co.writes() == 1 }, "the write has begun")
+	require.True(t, co.seal(0), "a write under way may send its bytes")
+	_, err = far.Read(make([]byte, 1))
+	require.NoError(t, err)
+	require.NoError(t, <-begun)
+
+	co = &conn{Conn: near}
+	require.NoError(t, far.Close())
+	_, err = co.Write([]byte("x"))
+	require.Error(t, err)
+	require.False(t, co.seal(0))
+}
+
+// Guards against a connection whose response was given up carrying another
+// call, which would get the rest of the first response.
+func TestAbandonedConnectionIsNotReused(t *testing.T) {
+	ended := make(chan struct{}, 4)
+	address := rawServer(t, func(nc net.Conn, number int) {
+		rd := bufio.NewReader(nc)
+		for {
+			req, err := http.ReadRequest(rd)
+			if err != nil {
+				ended <- struct{}{}
+				return
+			}
+			if req.Header.Get(targetserver.HeaderID) == "slow" {
+				_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\npart")
+				continue
+			}
+			_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", number)
+		}
+	})
+	no := startNode(t, options{target: address})
+	no.setTable(nil, no.id)
+	require.Equal(t, "0", post(t, no.caller, "/confirm", "a", nil).body)
+	req := newRequest(t, http.MethodPost, no.caller, "/confirm", "slow", nil)
+	req.Header.Set(headerTimeout, "50ms")
+	do(req).requireError(t, answerer.DeadlineExceeded, "unknown")
+	<-ended
+	require.Equal(t, "1", post(t, no.caller, "/confirm", "b", nil).body)
+}
+
+// Guards against a truncated response that looks complete to the caller, with
+// each kind of framing and over one and two nodes.
+func TestTruncatedResponse(t *testing.T) {
+	responses := map[string]string{
+		"length":       "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\npart",
+		"large length": "HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n" + strings.Repeat("x", 80_000),
+		"chunks":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		"torn chunk":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\npart",
+		"no last line": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n",
+	}
+	for name, response := range responses {
+		t.Run(name, func(t *testing.T) {
+			address := rawServer(t, func(nc net.Conn, _ int) {
+				if _, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
+					_, _ = io.WriteString(nc, response)
+				}
+			})
+			last := startNode(t, options{target: address})
+			last.setTable(nil, last.id)
+			first := startNode(t, options{})
+			first.setTable(nil, last.id)
+			for _, to := range []netip.AddrPort{last.caller, first.caller} {
+				an := post(t, to, "/confirm", "a", nil)
+				if an.err == nil {
+					an.requireError(t, answerer.OutcomeUnknown, "unknown")
+				}
+			}
+			eventually(t, func() bool { return len(first.observer.list()) == 1 }, "one observation")
+			require.True(t, first.observer.list()[0].Failed)
+		})
+	}
+}
+
+// Guards against responses whose end cannot be told from a broken connection,
+// and against responses without a body being taken for such.
+func TestFraming(t *testing.T) {
+	for response, want := range map[string]int{
+		"HTTP/1.1 200 OK\r\n\r\nuntil the end":             http.StatusBadGateway,
+		"HTTP/1.0 200 OK\r\n\r\nuntil the end":             http.StatusBadGateway,
+		"HTTP/1.1 101 Switching Protocols\r\n\r\n":         http.StatusBadGateway,
+		"HTTP/1.1 204 No Content\r\n\r\n":                  http.StatusNoContent,
+		"HTTP/1.1 304 Not Modified\r\n\r\n":                http.StatusNotModified,
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n":     http.StatusOK,
+		"HTTP/1.1 100 Continue\r\n\r\n" + plainResponse:    http.StatusOK,
+		"HTTP/1.1 200 OK\r\nContent-Length: two\r\n\r\nok": http.StatusBadGateway,
+	} {
+		address := rawServer(t, func(nc net.Conn, _ int) {
+			if _, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
+				_, _ = io.WriteString(nc, response)
+			}
+		})
+		no := startNode(t, options{target: address})
+		no.setTable(nil, no.id)
+		require.Equal(t, want, post(t, no.caller, "/confirm", "a", nil).status, response)
+	}
+}
+
+// Guards against a call that goes on at the target after its caller left.
+func TestDisconnectCancels(t *testing.T) {
+	target, address := startTarget(t, func(se *targetserver.Settings) {
+		se.Faults = []targetserver.Fault{{Kind: targetserver.FaultHang}}
+	})
+	last := startNode(t, options{target: address})
+	first := startNode(t, options{})
+	first.setTable(nil, last.id)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan answer, 1)
+	go func() {
+		done <- do(newRequest(t, http.MethodPost, first.caller, "/confirm", "a", []byte("x")).WithContext(ctx))
+	}()
+	eventually(t, func() bool { return target.InFlight() == 1 }, "the call runs")
+	began := time.Now()
+	cancel()
+	require.Error(t, (<-done).err)
+	eventually(t, func() bool { return target.InFlight() == 0 }, "the call is cancelled")
+	require.Less(t, time.Since(began), 1500*time.Millisecond, "the deadline ended the call instead")
+	eventually(t, func() bool { return last.limiter.InFlight() == 0 }, "the slot is free")
+	eventually(t, func() bool { return len(first.observer.list()) == 1 }, "one observation")
+	require.True(t, first.observer.list()[0].Cancelled)
+}
+
+// Guards against a call without a response 100 ms after its deadline, when the
+// target or the peer accepts connections and stays silent. The lateness of a
+// plain timer is taken off, because the machine may be busy.
+func TestSilentPeer(t *testing.T) {
+	silent := rawServer(t, func(nc net.Conn, _ int) { _, _ = io.Copy(io.Discard, nc) })
+	last := startNode(t, options{target: silent})
+	last.setTable(nil, last.id)
+	first := startNode(t, options{})
+	first.setTable(nil, last.id)
+	lost := startNode(t, options{})
+	lost.setTable(nil, silent)
+	const timeout = 200 * time.Millisecond
+	for name, to := range map[string]netip.AddrPort{
+		"silent target": last.caller, "two hops": first.caller, "silent peer": lost.caller,
+	} {
+		t.Run(name, func(t *testing.T) {
+			req := newRequest(t, http.MethodPost, to, "/confirm", "a", []byte("x"))
+			req.Header.Set(headerTimeout, timeout.String())
+			late := make(chan time.Duration, 1)
+			began := time.Now()
+			time.AfterFunc(timeout, func() { late <- time.Since(began) - timeout })
+			an := do(req)
+			took := time.Since(began)
+			an.requireError(t, answerer.DeadlineExceeded, "unknown")
+			require.Equal(t, http.StatusGatewayTimeout, an.status)
+			require.Less(t, took-<-late, timeout+graceTime)
+		})
+	}
+}
+
+// Guards against a slow body holding a handler after the call's deadline.
+func TestSlowBody(t *testing.T) {
+	target, address := startTarget(t, nil)
+	no := startNode(t, options{target: address})
+	no.setTable(nil, no.id)
+	for name, length := range map[string]int{"in memory": 10, "streamed": maxReplayBytes + 1} {
+		t.Run(name, func(t *testing.T) {
+			nc, err := net.Dial("tcp", no.caller.String())
+			require.NoError(t, err)
+			defer func() { _ = nc.Close() }()
+			_, err = fmt.Fprintf(nc, "POST /confirm HTTP/1.1\r\nHost: tag\r\n%s: 50ms\r\n"+
+				"Content-Length: %d\r\n\r\nx", headerTimeout, length)
+			require.NoError(t, err)
+			resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusGatewayTimeout, resp.StatusCode)
+			eventually(t, func() bool { nn, _ := no.fw.InFlight(); return nn == 0 }, "the handler ends")
+		})
+	}
+	eventually(t, func() bool { return target.InFlight() == 0 }, "the target is free")
+}
+
+// zeros is an endless body.
+type zeros struct{}
+
+func (zeros) Read(data []byte) (int, error) { return len(data), nil }
+
+// Guards against large bodies being held in memory on their way.
+func TestLargeBodiesAreStreamed(t *testing.T) {
+	const size = 64 << 20
+	address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		nn, err := io.Copy(io.Discard, r.Body)
+		if err != nil || nn != size {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.CopyN(w, zeros{}, size)
+	}))
+	last := startNode(t, options{target: address})
+	first := startNode(t, options{})
+	first.setTable(func(ta *testTable) {
+		ta.profile.Limits.MaxBodyBytes = size
+		ta.routes[len(ta.routes)-1].Timeout *= 30
+	}, last.id)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	req := newRequest(t, http.MethodPost, first.caller, "/confirm", "a", nil)
+	req.Body, req.ContentLength = io.NopCloser(io.LimitReader(zeros{}, size)), -1
+	resp, err := caller.Do(req)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	nn, err := io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, int64(size), nn)
+	runtime.ReadMemStats(&after)
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(size/4))
+}
+
+// Guards against a response of unknown length being held back until its end.
+func TestChunksArePassedOnAtOnce(t *testing.T) {
+	more := make(chan struct{})
+	address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "first")
+		_ = http.NewResponseController(w).Flush()
+		<-more
+		_, _ = io.WriteString(w, "second")
+	}))
+	last := startNode(t, options{target: address})
+	first := startNode(t, options{})
+	first.setTable(nil, last.id)
+	resp, err := caller.Do(newRequest(t, http.MethodGet, first.caller, "/scan", "a", nil))
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	part := make([]byte, 5)
+	_, err = io.ReadFull(resp.Body, part)
+	require.NoError(t, err)
+	require.Equal(t, "first", string(part))
+	close(more)
+	rest, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, "second", string(rest))
+}
+
+// Guards against the response of another call, or of something that is not a
+// node, being passed on to the caller.
+func TestForeignResponse(t *testing.T) {
+	for name, echo := range map[string]string{"other call": "other", "no node": ""} {
+		t.Run(name, func(t *testing.T) {
+			peer := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if echo != "" {
+					w.Header().Set(headerHop, echo)
+					expectedViolations.Add(1)
+				}
+				w.Header().Set(headerOutcome, "answered")
+				_, _ = io.WriteString(w, "not yours")
+			}))
+			first := startNode(t, options{})
+			first.setTable(nil, peer)
+			an := post(t, first.caller, "/confirm", "a", nil)
+			an.requireError(t, answerer.OutcomeUnknown, "unknown")
+			require.NotContains(t, an.body, "not yours")
+		})
+	}
+}
+
+// Guards against malformed, oversized and slow request heads being answered
+// without kind and outcome, or not at all.
+func TestMalformedRequests(t *testing.T) {
+	target, address := startTarget(t, nil)
+	no := startNode(t, options{target: address})
+	no.setTable(nil, no.id)
+	for name, tt := range map[string]struct {
+		text string
+		kind answerer.Kind
+	}{
+		"no HTTP":       {"hello\r\n\r\n", answerer.BadRequest},
+		"no host":       {"GET /scan HTTP/1.1\r\n\r\n", answerer.BadRequest},
+		"header":        {"GET /scan HTTP/1.1\r\nHost: tag\r\nbad header\r\n\r\n", answerer.BadRequest},
+		"two lengths":   {"POST / HTTP/1.1\r\nHost: tag\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx", answerer.BadRequest},
+		"encoding":      {"POST / HTTP/1.1\r\nHost: tag\r\nTransfer-Encoding: zip\r\n\r\n", answerer.BadRequest},
+		"connect":       {"CONNECT tag:80 HTTP/1.1\r\nHost: tag\r\n\r\n", answerer.BadRequest},
+		"relative path": {"GET scan HTTP/1.1\r\nHost: tag\r\n\r\n", answerer.BadRequest},
+		"large header": {
+			"GET /scan HTTP/1.1\r\nHost: tag\r\nX: " + strings.Repeat("x", 64<<10) + "\r\n\r\n", answerer.TooLarge,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			nc, err := net.Dial("tcp", no.caller.String())
+			require.NoError(t, err)
+			defer func() { _ = nc.Close() }()
+			_, _ = io.WriteString(nc, tt.text)
+			resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+			require.NoError(t, err)
+			body, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			answer{resp.StatusCode, resp.Header, string(body), nil}.requireError(t, tt.kind, "notRun")
+		})
+	}
+	require.Zero(t, target.Calls())
+}
+
+// Guards against a client that sends its head slowly and holds a connection.
+func TestSlowHead(t *testing.T) {
+	sv := NewServer(http.NotFoundHandler(), nil)
+	require.Equal(t, readHeaderTimeout, sv.server.ReadHeaderTimeout)
+	sv.server.ReadHeaderTimeout = 20 * time.Millisecond
+	ln := listen(t)
+	done := make(chan error, 1)
+	go func() { done <- sv.Serve(ln) }()
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	_, err = io.WriteString(nc, "GET / HTTP/1.1\r\nHost:")
+	require.NoError(t, err)
+	_, err = nc.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.NoError(t, sv.Close())
+	require.NoError(t, <-done)
+}
--- a/internal/forwarder/last.go
+++ b/internal/forwarder/last.go
@@ -100,7 +100,7 @@
 	rp.began = fw.config.Now()
 	ho.to = fw.config.Target.Address
 	if rp.roundTrip(ctx, ca, fw.target, ho) {
-		rp.fromTarget()
+		rp.fromTarget(ctx)
 	}
 	fw.ownLoad(rp)
 	return rp
--- /dev/null
+++ b/internal/forwarder/relay_test.go
@@ -0,0 +1,213 @@
+package forwarder
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavastall/guavastall/internal/targetserver"
+)
+
+// noCut lets a direction of the relay pass.
+const noCut = -1
+
+// tcpRelay passes bytes between a client and a server, and cuts both
+// directions at a byte offset that counts from arm.
+type tcpRelay struct {
+	address netip.AddrPort
+
+	mu                sync.Mutex
+	request, response int
+	conns             map[net.Conn]struct{}
+	open              sync.WaitGroup
+}
+
+func startRelay(tb testing.TB, to netip.AddrPort) *tcpRelay {
+	re := &tcpRelay{request: noCut, response: noCut, conns: map[net.Conn]struct{}{}}
+	ln := listen(tb)
+	re.address = addrOf(ln)
+	re.open.Go(func() {
+		for {
+			client, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			server, err := net.Dial("tcp", to.String())
+			if err != nil {
+				_ = client.Close()
+				continue
+			}
+			re.pass(client, server)
+		}
+	})
+	tb.Cleanup(func() {
+		_ = ln.Close()
+		re.reset()
+		re.open.Wait()
+	})
+	return re
+}
+
+// arm cuts after so many more bytes of the request or the response.
+func (re *tcpRelay) arm(request, response int) {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	re.request, re.response = request, response
+}
+
+// reset closes all connections.
+func (re *tcpRelay) reset() {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	for nc := range re.conns {
+		_ = nc.Close()
+	}
+}
+
+func (re *tcpRelay) pass(client, server net.Conn) {
+	re.mu.Lock()
+	re.conns[client], re.conns[server] = struct{}{}, struct{}{}
+	re.mu.Unlock()
+	// The client sees a reset, the server an end after the last byte, so that
+	// it gets every byte up to the cut.
+	end := func() {
+		_ = client.(*net.TCPConn).SetLinger(0)
+		_ = client.Close()
+		_ = server.(*net.TCPConn).CloseWrite()
+	}
+	re.open.Go(func() {
+		re.copy(server, client, &re.request)
+		end()
+	})
+	re.open.Go(func() {
+		re.copy(client, server, &re.response)
+		end()
+		_, _ = io.Copy(io.Discard, server)
+		_ = server.Close()
+		re.mu.Lock()
+		defer re.mu.Unlock()
+		delete(re.conns, client)
+		delete(re.conns, server)
+	})
+}
+
+// copy passes bytes until an error or the cut.
+func (re *tcpRelay) copy(to, from net.Conn, left *int) {
+	buffer := make([]byte, 4<<10)
+	for {
+		nn, err := from.Read(buffer)
+		re.mu.Lock()
+		cut := *left != noCut && nn >= *left
+		if cut {
+			nn = *left
+		} else if *left != noCut {
+			*left -= nn
+		}
+		re.mu.Unlock()
+		if _, werr := to.Write(buffer[:nn]); werr != nil || err != nil || cut {
+			return
+		}
+	}
+}
+
+// Guards, at every byte of a request and of a response, against a call that is
+// not idempotent and runs twice, against "not run" for one that ran, and
+// against a response that is not whole. The cuts lie between caller and first
+// node, between the nodes, and before the target, on fresh and on reused
+// connections.
+func TestResetAtEveryByte(t *testing.T) {
+	target, address := startTarget(t, func(se *targetserver.Settings) { se.ResponseBytes = 64 })
+	beforeTarget := startRelay(t, address)
+	last := startNode(t, options{target: beforeTarget.address})
+	betweenNodes := startRelay(t, last.id)
+	first := startNode(t, options{})
+	first.setTable(nil, betweenNodes.address)
+	beforeFirst := startRelay(t, first.caller)
+
+	stride := 1
+	if testing.Short() {
+		stride = 11
+	}
+	// The bounds lie beyond the end of a request and of a response.
+	const requestBytes, responseBytes = 420, 420
+	for name, re := range map[string]*tcpRelay{
+		"caller": beforeFirst, "nodes": betweenNodes, "target": beforeTarget,
+	} {
+		for _, reused := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s reused %t", name, reused), func(t *testing.T) {
+				cuts := &cutRun{t: t, target: target, to: beforeFirst.address, relay: re, reused: reused}
+				for offset := 0; offset < requestBytes; offset += stride {
+					cuts.call(offset, noCut)
+				}
+				for offset := 0; offset < responseBytes; offset += stride {
+					cuts.call(noCut, offset)
+				}
+				cuts.check()
+			})
+		}
+	}
+	eventually(t, func() bool { return last.limiter.InFlight() == 0 }, "all slots are free")
+}
+
+// cutRun makes calls through a relay that cuts them.
+type cutRun struct {
+	t       *testing.T
+	target  *targetserver.Server
+	to      netip.AddrPort
+	relay   *tcpRelay
+	reused  bool
+	results map[string]answer
+}
+
+func (cr *cutRun) call(request, response int) {
+	if cr.results == nil {
+		cr.results = map[string]answer{}
+	}
+	cr.relay.arm(noCut, noCut)
+	if cr.reused {
+		require.Equal(cr.t, http.StatusOK, post(cr.t, cr.to, "/confirm", "", []byte("warm")).status)
+	} else {
+		cr.relay.reset()
+	}
+	cr.relay.arm(request, response)
+	id := fmt.Sprintf("%s-%d-%d", cr.t.Name(), request, response)
+	req := newRequest(cr.t, http.MethodPost, cr.to, "/confirm", id, []byte("a body of 20 bytes.."))
+	req.Header.Set(headerKey, "key")
+	cr.results[id] = do(req)
+}
+
+// check compares what the callers were told with what the target ran.
+func (cr *cutRun) check() {
+	cr.relay.arm(noCut, noCut)
+	eventually(cr.t, func() bool { return cr.target.InFlight() == 0 }, "the target is free")
+	outcomes := map[string]int{}
+	for id, an := range cr.results {
+		ran := cr.target.Executions(id)
+		require.LessOrEqual(cr.t, ran, 1, id)
+		if an.err != nil {
+			outcomes["broken"]++
+			continue
+		}
+		outcomes[an.outcome()]++
+		switch an.outcome() {
+		case "answered":
+			require.Equal(cr.t, 1, ran, id)
+			require.Equal(cr.t, http.StatusOK, an.status, id)
+			require.Equal(cr.t, string(targetserver.Body(id, 64)), an.body, id)
+		case "notRun":
+			require.Zero(cr.t, ran, id)
+		case "unknown":
+		default:
+			cr.t.Fatalf("%s has no outcome: %d %q", id, an.status, an.body)
+		}
+	}
+	require.Positive(cr.t, outcomes["answered"], "the bounds do not reach the end of a message")
+	require.Positive(cr.t, outcomes["unknown"]+outcomes["broken"])
+	cr.t.Log(outcomes)
+}
--- a/internal/forwarder/reply.go
+++ b/internal/forwarder/reply.go
@@ -35,7 +35,11 @@
 	began    time.Time
 	watch    *watch
 	cancel   context.CancelFunc
-	atEOF    bool
+	// atEOF says that the connection was read to the end of the response.
+	atEOF bool
+	// buffer holds a small body that was read ahead; data is what is left of it.
+	buffer *[copyBytes]byte
+	data   []byte
 }
 
 // roundTrip sends the request and sorts the failures of the connection. It
@@ -57,7 +61,7 @@
 	switch {
 	case ca.body.stream != nil && ca.body.stream.over.Load():
 		rp.err = errTooLarge
-	case ctx.Err() != nil:
+	case ended(ctx):
 		rp.err = contextError(ctx)
 	case rp.outcome == retrier.NotRun:
 		rp.err = answerer.Wrap(err, answerer.NoTarget, "connect to "+ho.to.String())
@@ -77,7 +81,7 @@
 }
 
 // fromTarget sorts the response of the target.
-func (rp *reply) fromTarget() {
+func (rp *reply) fromTarget(ctx context.Context) {
 	if rp.resp.StatusCode < http.StatusOK || !framed(rp.resp) {
 		rp.abandon()
 		rp.outcome = retrier.Unknown
@@ -86,13 +90,35 @@
 		return
 	}
 	rp.outcome = retrier.Answered
+	rp.readAhead(ctx)
+}
+
+// readAhead reads a small body whole, so that a response that breaks off on
+// the way counts as unknown while something can still be done about it.
+func (rp *reply) readAhead(ctx context.Context) {
+	size := rp.resp.ContentLength
+	if rp.atEOF || size <= 0 || size > copyBytes {
+		return
+	}
+	rp.buffer = buffers.Get().(*[copyBytes]byte)
+	rp.data = rp.buffer[:size]
+	if _, err := io.ReadFull(rp.resp.Body, rp.data); err != nil {
+		rp.outcome = retrier.Unknown
+		rp.err = answerer.Wrap(err, answerer.OutcomeUnknown, "read the response")
+		if ended(ctx) {
+			rp.err = contextError(ctx)
+		}
+		rp.abandon()
+		return
+	}
+	rp.atEOF = true
 }
 
 // maxMessageBytes bounds the error body that is read from another node.
 const maxMessageBytes = 4 << 10
 
 // fromPeer sorts the response of the target's node.
-func (rp *reply) fromPeer(id string) {
+func (rp *reply) fromPeer(ctx context.Context, id string) {
 	head := rp.resp.Header
 	farewell := rp.resp.StatusCode == http.StatusRequestTimeout && rp.resp.Close &&
 		head.Get(headerError) == answerer.Draining.String()
@@ -108,6 +134,7 @@
 	rp.outcome = retrier.ParseOutcome(head.Get(headerOutcome))
 	if rp.outcome == retrier.Answered {
 		if rp.resp.StatusCode >= http.StatusOK && framed(rp.resp) {
+			rp.readAhead(ctx)
 			return
 		}
 		rp.abandon()
@@ -135,10 +162,22 @@
 		rp.watch.seal()
 	}
 	_ = rp.resp.Body.Close()
+	if rp.buffer != nil {
+		buffers.Put(rp.buffer)
+		rp.buffer, rp.data = nil, nil
+	}
 }
 
 // Read reads the body of the response and notes its end.
 func (rp *reply) Read(data []byte) (int, error) {
+	if rp.buffer != nil {
+		nn := copy(data, rp.data)
+		rp.data = rp.data[nn:]
+		if nn == 0 {
+			return 0, io.EOF
+		}
+		return nn, nil
+	}
 	nn, err := rp.resp.Body.Read(data)
 	if err == io.EOF {
 		rp.atEOF = true
--- a/internal/forwarder/respond.go
+++ b/internal/forwarder/respond.go
@@ -104,10 +104,16 @@
 	}
 	w.WriteHeader(rp.resp.StatusCode)
 	en := complete
-	if !rp.atEOF {
+	switch {
+	case rp.buffer != nil:
+		if _, err := w.Write(rp.data); err != nil {
+			en = cancelled
+		}
+	case !rp.atEOF:
 		en = rp.copyBody(w)
 	}
-	if en != complete && ca.request.Context().Err() != nil {
+	if en == broken && ca.request.Context().Err() != nil &&
+		fw.config.Now().Before(ca.deadline) {
 		en = cancelled
 	}
 	rp.abandon()
