Add detector, gossiper and aggregator with their tests

Cause: nodes must know which members run, at a cost that does not grow with the fleet, and operators must see whether a revision is in effect everywhere. Before: nothing.

--- /dev/null
+++ b/internal/detector/detector_test.go
@@ -0,0 +1,321 @@
+package detector
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/guavastall/guavastall/internal/asserter"
+	"github.com/guavastall/guavastall/pkg/checker"
+)
+
+// init fixes the seed of the randomised tests; -rapid.seed on the command line
+// still wins.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func testNode(nn int) checker.NodeID {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(nn), 1}), 7000)
+}
+
+func testMember(nn int) Member {
+	return Member{
+		Node: testNode(nn), Incarnation: 1 << changeBits, DataCentre: "dc-0", Region: "punjab",
+		Service: "tag", Version: "v1", Slots: 20, Connections: 130,
+	}
+}
+
+func newDetector(nn int) *Detector {
+	return New(testMember(nn), Config{Random: rand.New(rand.NewPCG(uint64(nn), 1))}, epoch)
+}
+
+func stateOf(de *Detector, nn int) State {
+	en := de.table.entries[testNode(nn)]
+	if en == nil {
+		return stateCount
+	}
+	return en.state()
+}
+
+// Guards against a restarted node whose clock stepped back, or that is taken
+// for dead, staying below the incarnation its peers know.
+func TestRefute(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		heard func(*Member)
+		want  Incarnation
+	}{
+		{"older life", func(me *Member) { me.Incarnation = 5 }, 1 << changeBits},
+		{"same", func(*Member) {}, 1 << changeBits},
+		{"suspected", func(me *Member) { me.State = Suspect }, 1<<changeBits + 1},
+		{"dead", func(me *Member) { me.State, me.Incarnation = Dead, me.Incarnation+8 }, 1<<changeBits + 9},
+		{"clock stepped back", func(me *Member) { me.Incarnation = 9<<changeBits + 4 }, 10 << changeBits},
+		{"left in an earlier life", func(me *Member) { me.Incarnation, me.State = 9<<changeBits, Left }, 10 << changeBits},
+		{"other attributes", func(me *Member) { me.Version = "v0" }, 1<<changeBits + 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			de := newDetector(0)
+			heard := testMember(0)
+			tt.heard(&heard)
+			de.Merge([]Member{heard}, nil, testNode(1), epoch)
+			require.Equal(t, tt.want, de.Self().Incarnation)
+			require.Equal(t, Alive, de.Self().State)
+		})
+	}
+}
+
+// Guards against verdicts of others killing a member before it can refute them,
+// and against forgotten dead members going round forever.
+func TestDeathOfOthers(t *testing.T) {
+	de := newDetector(0)
+	alive, dead := testMember(1), testMember(1)
+	dead.State = Dead
+	de.Merge([]Member{dead}, nil, testNode(2), epoch)
+	require.Equal(t, stateCount, stateOf(de, 1), "an unknown dead member was taken in")
+	de.Merge([]Member{alive, dead}, nil, testNode(2), epoch)
+	require.Equal(t, Suspect, stateOf(de, 1))
+	de.Tick(epoch.Add(time.Second))
+	require.Equal(t, Suspect, stateOf(de, 1))
+
+	refuted := alive
+	refuted.Incarnation++
+	de.Merge([]Member{refuted}, nil, testNode(2), epoch)
+	require.Equal(t, Alive, stateOf(de, 1))
+
+	dead.Incarnation += 2
+	de.Merge([]Member{dead}, nil, testNode(2), epoch)
+	for nn := range 40 {
+		de.Tick(epoch.Add(time.Duration(nn) * time.Second / 10))
+	}
+	require.Equal(t, Dead, stateOf(de, 1))
+}
+
+// Guards against members that leave being probed or revived, and against a
+// leaving node that refutes its own leave.
+func TestLeave(t *testing.T) {
+	de, other := newDetector(0), newDetector(1)
+	de.Merge([]Member{other.Self()}, nil, testNode(1), epoch)
+	other.Merge([]Member{de.Self()}, nil, testNode(0), epoch)
+	de.Change(func(me *Member) { me.Draining = true }, epoch)
+	de.Leave(epoch)
+	left := de.Self()
+	require.True(t, left.Draining)
+	other.Merge([]Member{left}, nil, testNode(0), epoch)
+	require.Equal(t, Left, stateOf(other, 0))
+	require.Zero(t, other.Counts()["dc-0"].Known-1)
+	suspected := left
+	suspected.State, suspected.Incarnation = Suspect, left.Incarnation+1
+	de.Merge([]Member{suspected}, nil, testNode(1), epoch)
+	require.Equal(t, left, de.Self())
+}
+
+// Guards against a node that was frozen blaming its neighbours for the answers
+// it did not read.
+func TestResume(t *testing.T) {
+	de := newDetector(0)
+	de.Merge([]Member{testMember(1), testMember(2)}, nil, testNode(1), epoch)
+	actions := de.Tick(epoch)
+	require.NotEmpty(t, actions)
+	later := epoch.Add(time.Minute)
+	de.Tick(later)
+	for _, ac := range actions {
+		de.Missed(ac, later)
+	}
+	for _, ac := range de.Tick(later) {
+		require.NotEqual(t, PingVia, ac.Kind)
+	}
+	require.Equal(t, Alive, stateOf(de, 1))
+}
+
+// Guards against a note that goes back or that spreads without bound.
+func TestNotes(t *testing.T) {
+	de := newDetector(0)
+	require.True(t, de.SetNote(Note{Key: "a", Epoch: 2, Data: []byte("x")}))
+	require.False(t, de.SetNote(Note{Key: "a", Epoch: 1, Data: []byte("y")}))
+	require.False(t, de.SetNote(Note{Key: "a", Epoch: 3, Data: make([]byte, maxNoteBytes+1)}))
+	for nn := range 2 * maxNotes {
+		de.SetNote(Note{Key: fmt.Sprint(nn)})
+	}
+	require.Len(t, de.Notes(), maxNotes)
+}
+
+// drawMember draws a record about one of a few members.
+func drawMember(rt *rapid.T) Member {
+	me := testMember(rapid.IntRange(1, 6).Draw(rt, "node"))
+	me.Incarnation = Incarnation(rapid.IntRange(1, 4).Draw(rt, "incarnation"))
+	me.State = State(rapid.IntRange(0, int(Left)).Draw(rt, "state"))
+	me.Slots = uint32(rapid.IntRange(1, 2).Draw(rt, "slots"))
+	return me
+}
+
+// naive is the reference: every record ever heard, and the greatest wins.
+type naive map[checker.NodeID]Member
+
+func (na naive) hear(me Member) {
+	known, ok := na[me.Node]
+	if !ok || me.Incarnation > known.Incarnation ||
+		me.Incarnation == known.Incarnation && me.State > known.State ||
+		me.Incarnation == known.Incarnation && me.State == known.State && me.hash() > known.hash() {
+		na[me.Node] = me
+	}
+}
+
+// Guards against merging that depends on the order of the records. Detectors
+// and the reference hear the same records in different orders; once every
+// suspicion has ended, incarnations and verdicts must be equal.
+func TestMergeAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		records := rapid.SliceOfN(rapid.Custom(drawMember), 1, 30).Draw(rt, "records")
+		order := rapid.Permutation(records).Draw(rt, "order")
+		want := naive{}
+		first, second := newDetector(0), newDetector(0)
+		for nn := range 7 {
+			base := testMember(nn)
+			base.Incarnation = 0
+			first.Merge([]Member{base}, nil, testNode(1), epoch)
+			second.Merge([]Member{base}, nil, testNode(1), epoch)
+		}
+		for nn, me := range records {
+			want.hear(me)
+			first.Merge([]Member{me}, nil, testNode(1), epoch)
+			second.Merge(order[nn:nn+1], nil, testNode(1), epoch)
+		}
+		for _, de := range []*Detector{first, second} {
+			for nn := range 20 {
+				de.confirm(epoch.Add(time.Duration(nn) * time.Second))
+			}
+			for node, me := range want {
+				if me.State == Suspect {
+					me.State = Dead
+				}
+				got := de.table.entries[node]
+				require.Equal(rt, me.Incarnation, got.Incarnation)
+				require.Equal(rt, me.State, got.state(), "%v", node)
+			}
+		}
+		require.Equal(rt, first.table.root, second.table.root)
+	})
+}
+
+// Guards against digest exchanges that end with less than the exchange of full
+// tables would: two detectors with random tables exchange; both must hold the
+// union.
+func TestExchangeAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		near, far := newDetector(200), newDetector(201)
+		want := naive{}
+		for _, de := range []*Detector{near, far} {
+			want.hear(de.Self())
+			for range rapid.IntRange(0, 400).Draw(rt, "count") {
+				me := testMember(0)
+				me.Node = netip.AddrPortFrom(netip.AddrFrom4([4]byte{
+					10, 1, byte(de.config.Random.IntN(2)), byte(de.config.Random.IntN(256))}), 7000)
+				me.Incarnation = Incarnation(1 + de.config.Random.IntN(3))
+				de.Merge([]Member{me}, nil, testNode(1), epoch)
+				want.hear(me)
+			}
+			de.SetNote(Note{Key: "k", Epoch: de.config.Random.Uint64N(3)})
+		}
+		for queue := []Action{near.exchange(far.node, 0, epoch)}; len(queue) > 0; {
+			ac := queue[0]
+			answer := far.Offered(ac.Offer, epoch)
+			near.Exchanged(ac, answer, epoch)
+			queue, near.queue = append(queue[1:], near.queue...), nil
+		}
+		for _, de := range []*Detector{near, far} {
+			got := naive{}
+			for _, me := range de.Members() {
+				got[me.Node] = me
+			}
+			require.Equal(rt, want, got)
+		}
+		require.Equal(rt, near.Digest(), far.Digest())
+		require.Equal(rt, near.Notes(), far.Notes())
+	})
+}
+
+// Guards against a member that nobody probes: on the rings each one has a
+// predecessor. The log shows how many a choice by rendezvous hashing would
+// leave out.
+func TestEveryMemberIsProbed(t *testing.T) {
+	si := newSim(3, 200, 2, Config{})
+	si.startAll()
+	probed := map[checker.NodeID]int{}
+	for _, no := range si.nodes {
+		no.de.updateNeighbours()
+		require.Len(t, no.de.Neighbours(), ringCount)
+		outside := 0
+		for _, node := range no.de.Neighbours() {
+			probed[node]++
+			if si.byID[node].dc != no.dc {
+				outside++
+			}
+		}
+		require.Equal(t, 1, outside)
+	}
+	least := len(si.nodes)
+	for _, no := range si.nodes {
+		least = min(least, probed[no.id])
+	}
+	require.Positive(t, least)
+	without := 0
+	for ii := range si.nodes {
+		rivals := 0 // probed by a node if among its top 3 of its data centre
+		for jj := range si.nodes {
+			if ii == jj || si.nodes[ii].dc != si.nodes[jj].dc {
+				continue
+			}
+			own := score(jj, ii)
+			better := 0
+			for kk := range si.nodes {
+				if kk != jj && si.nodes[kk].dc == si.nodes[jj].dc && score(jj, kk) > own {
+					better++
+				}
+			}
+			if better < localRings {
+				rivals++
+			}
+		}
+		if rivals == 0 {
+			without++
+		}
+	}
+	t.Logf("rings: each member is probed by at least %d; rendezvous hashing: %d of %d by none in their data centre",
+		least, without, len(si.nodes))
+}
+
+// FuzzDecodeMembers guards against input that makes the decoder or the merge
+// panic, or that is accepted but encodes to something else.
+func FuzzDecodeMembers(f *testing.F) {
+	f.Add(EncodeMembers([]Member{testMember(0), testMember(1)}))
+	f.Add([]byte{0, 1, 4, 1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		members, err := DecodeMembers(data)
+		if err != nil {
+			return
+		}
+		again, err := DecodeMembers(EncodeMembers(members))
+		require.NoError(t, err)
+		require.True(t, slices.Equal(members, again))
+		de := newDetector(0)
+		de.Merge(members, nil, testNode(1), epoch)
+		de.Tick(epoch)
+	})
+}
+
+// Guards against violated run-time assertions that no test looks at.
+func requireNoViolations(tb require.TestingT, before int64) {
+	require.Equal(tb, before, asserter.Violations())
+}
--- /dev/null
+++ b/internal/detector/exchange.go
@@ -0,0 +1,158 @@
+package detector
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/guavastall/guavastall/pkg/checker"
+)
+
+// exchangeRounds bounds the offers of one exchange: enough for the transfer of
+// 4,000 members.
+const exchangeRounds = 16
+
+// Offer is one side's part of an exchange.
+type Offer struct {
+	// From is the sender's own record.
+	From Member
+	// Digest is the hash of the sender's table, Notes that of its notes.
+	Digest     uint64
+	NoteDigest uint64
+	// Buckets holds a hash for each bucket of members; empty in the first
+	// offer, which asks for them.
+	Buckets []uint32
+	// Members and Notes are what the receiver may lack.
+	Members []Member
+	Notes   []Note
+	// Round counts the offers of an exchange.
+	Round int
+}
+
+// schedule starts the exchanges that are due.
+func (de *Detector) schedule(now time.Time) {
+	if !now.Before(de.nextJoin) {
+		de.nextJoin = now.Add(de.jitter(de.config.JoinTime))
+		if len(de.neighbours) == 0 || de.isolated(now) {
+			de.exchangeWith(de.pick(true, true), now)
+		}
+	}
+	if !now.Before(de.nextExchange) {
+		de.nextExchange = now.Add(de.jitter(de.config.ExchangeTime))
+		de.exchangeWith(de.pick(true, false), now)
+	}
+	if !now.Before(de.nextRetry) {
+		de.nextRetry = now.Add(de.jitter(de.config.RetryTime))
+		de.exchangeWith(de.pick(false, true), now)
+	}
+}
+
+// pick returns a random member that is not dead, or a random dead member or
+// seed that is not known as alive; the zero NodeID if there is none.
+func (de *Detector) pick(living, lost bool) checker.NodeID {
+	var list []checker.NodeID
+	for _, en := range de.table.list {
+		dead := en.state() == Dead
+		if en.Node != de.node && (living && en.state() < Dead || lost && dead) {
+			list = append(list, en.Node)
+		}
+	}
+	for _, seed := range de.config.Seeds {
+		if en := de.table.entries[seed]; lost && (en == nil || en.state() == Left) {
+			list = append(list, seed)
+		}
+	}
+	if len(list) == 0 {
+		return checker.NodeID{}
+	}
+	return list[de.config.Random.IntN(len(list))]
+}
+
+func (de *Detector) exchangeWith(node checker.NodeID, now time.Time) {
+	if node.IsValid() {
+		de.queue = append(de.queue, de.exchange(node, 0, now))
+	}
+}
+
+func (de *Detector) exchange(node checker.NodeID, round int, now time.Time) Action {
+	return Action{Kind: Exchange, Target: node, Offer: de.offer(round), started: now}
+}
+
+func (de *Detector) offer(round int) Offer {
+	of := Offer{
+		From: de.Self(), Digest: de.Digest(), NoteDigest: de.table.noteHash, Round: round,
+	}
+	if round > 0 {
+		of.Buckets = de.table.shortBuckets()
+	}
+	return of
+}
+
+// Offered answers an offer of a peer.
+func (de *Detector) Offered(of Offer, now time.Time) Offer {
+	de.contact(now)
+	de.takeOffer(of, now)
+	answer := de.offer(of.Round)
+	if of.Digest == answer.Digest || of.Round == 0 {
+		return answer
+	}
+	de.fill(&answer, of, nil)
+	return answer
+}
+
+// takeOffer merges what an offer brings.
+func (de *Detector) takeOffer(of Offer, now time.Time) {
+	de.Merge([]Member{of.From}, nil, of.From.Node, now)
+	de.Merge(of.Members, of.Notes, of.From.Node, now)
+}
+
+// fill adds to an offer what the sender of the other one may lack: the members
+// of the buckets that differ, except those just received from it.
+func (de *Detector) fill(offer *Offer, other Offer, received []Member) {
+	if other.NoteDigest != offer.NoteDigest {
+		for _, key := range slices.Sorted(maps.Keys(de.table.notes)) {
+			offer.Notes = append(offer.Notes, de.table.notes[key].Note)
+		}
+	}
+	if len(other.Buckets) != bucketCount {
+		return
+	}
+	same := make(map[Member]bool, len(received))
+	for _, me := range received {
+		same[me] = true
+	}
+	short := de.table.shortBuckets()
+	// Different exchanges begin at different buckets, so that a node that
+	// joins through several peers does not get the same members from each.
+	first := de.config.Random.IntN(bucketCount)
+	byBucket := map[int][]Member{}
+	for _, en := range de.table.list {
+		if short[en.bucket] != other.Buckets[en.bucket] && !same[en.Member] {
+			byBucket[en.bucket] = append(byBucket[en.bucket], en.Member)
+		}
+	}
+	for nn := range bucketCount {
+		offer.Members = append(offer.Members, byBucket[(first+nn)%bucketCount]...)
+		if len(offer.Members) >= offerLimit {
+			return
+		}
+	}
+}
+
+// Exchanged takes in the answer to an offer. It goes on with the exchange
+// while the tables differ.
+func (de *Detector) Exchanged(ac Action, answer Offer, now time.Time) {
+	de.contact(now)
+	before := de.Digest()
+	de.takeOffer(answer, now)
+	if answer.Digest == de.Digest() || ac.Offer.Round >= exchangeRounds {
+		return
+	}
+	next := de.exchange(ac.Target, ac.Offer.Round+1, now)
+	de.fill(&next.Offer, answer, answer.Members)
+	next.answered = answer.Digest
+	progress := de.Digest() != before || ac.answered != answer.Digest
+	if ac.Offer.Round < 2 || progress {
+		de.queue = append(de.queue, next)
+	}
+}
--- /dev/null
+++ b/internal/detector/sim_run_test.go
@@ -0,0 +1,242 @@
+package detector
+
+import (
+	"encoding/binary"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/guavastall/guavastall/internal/asserter"
+)
+
+func score(one, other int) uint64 {
+	return xxhash.Sum64(binary.BigEndian.AppendUint64(nil, uint64(one)<<32|uint64(other)))
+}
+
+// requireSettled requires that the fleet converges within a bound.
+func (si *sim) requireSettled(tb require.TestingT, limit time.Duration, what string) time.Duration {
+	took, why := si.settle(limit)
+	require.Empty(tb, why, "%s: not converged after %v", what, limit)
+	require.Empty(tb, si.fault)
+	return took
+}
+
+// resetBytes starts a measurement of bytes.
+func (si *sim) resetBytes() {
+	for _, no := range si.nodes {
+		no.bytes = 0
+	}
+}
+
+// meanAndMost returns the bytes of the average and the busiest node.
+func (si *sim) meanAndMost() (int, int) {
+	total, most := 0, 0
+	for _, no := range si.nodes {
+		total += no.bytes
+		most = max(most, no.bytes)
+	}
+	return total / len(si.nodes), most
+}
+
+// Guards against traffic that grows with the fleet, slow detection, false
+// suspicions and tables that differ, at several sizes; logs the figures.
+func TestFleet(t *testing.T) {
+	sizes := []int{50, 100, 200, 750}
+	if testing.Short() {
+		sizes = sizes[:2]
+	}
+	before := asserter.Violations()
+	for _, count := range sizes {
+		si := newSim(1, count, 9, Config{})
+		si.startAll()
+		si.runFor(5 * time.Second)
+		si.resetBytes()
+		si.runFor(20 * time.Second)
+		mean, most := si.meanAndMost()
+		t.Logf("%d nodes: %d B/s per node, busiest %d B/s, both directions", count, mean/20, most/20)
+		require.Less(t, mean/20, 4000)
+		require.Zero(t, si.suspicions, "suspicions without a failure")
+		si.requireSettled(t, 0, "steady state")
+
+		victim := si.nodes[3]
+		si.stop(victim)
+		t.Logf("  killed: dead everywhere after %v", si.requireSettled(t, 8*time.Second, "kill"))
+		si.start(victim)
+		t.Logf("  restarted: alive everywhere after %v", si.requireSettled(t, 10*time.Second, "restart"))
+		victim.frozen = true
+		t.Logf("  frozen: dead everywhere after %v", si.requireSettled(t, 10*time.Second, "freeze"))
+		victim.frozen = false
+		t.Logf("  resumed: alive everywhere after %v", si.requireSettled(t, 10*time.Second, "resume"))
+		victim.de.Change(func(me *Member) { me.Draining = true }, si.now)
+		t.Logf("  draining: known everywhere after %v", si.requireSettled(t, 5*time.Second, "change"))
+	}
+	requireNoViolations(t, before)
+}
+
+// Guards against a mass failure or a healed partition that leaves tables apart
+// or floods the network.
+func TestHerd(t *testing.T) {
+	count := 200
+	if testing.Short() {
+		count = 50
+	}
+	si := newSim(2, count, 9, Config{})
+	si.startAll()
+	si.runFor(5 * time.Second)
+	var down []*simNode
+	for nn, no := range si.nodes {
+		if nn%5 != 0 {
+			si.stop(no)
+			down = append(down, no)
+		}
+	}
+	t.Logf("80%% of %d killed: known everywhere after %v", count, si.requireSettled(t, 90*time.Second, "herd"))
+	si.resetBytes()
+	for _, no := range down {
+		si.start(no)
+	}
+	took := si.requireSettled(t, 30*time.Second, "return")
+	_, most := si.meanAndMost()
+	t.Logf("restarted: all known after %v, busiest node %d bytes", took, most)
+	si.cut = func(from, to *simNode) bool { return (from.dc < "dc-4") != (to.dc < "dc-4") }
+	si.runFor(60 * time.Second)
+	for _, no := range si.nodes {
+		for dc, co := range no.de.Counts() {
+			if (dc < "dc-4") == (no.dc < "dc-4") {
+				require.Equal(t, co.Known, co.Alive, "a side lost members of its own")
+			} else {
+				require.Zero(t, co.Alive, "a side still counts on the other")
+			}
+		}
+	}
+	si.cut = nil
+	si.resetBytes()
+	took = si.requireSettled(t, 60*time.Second, "healing")
+	_, most = si.meanAndMost()
+	t.Logf("partition of 60 s healed: all known after %v, busiest node %d bytes", took, most)
+}
+
+// Guards against the verdicts of a node that was cut off, or whose own network
+// fails, reaching the others.
+func TestCutOffNode(t *testing.T) {
+	si := newSim(4, 60, 3, Config{})
+	si.startAll()
+	si.runFor(5 * time.Second)
+	alone := si.nodes[7]
+	si.cut = func(from, to *simNode) bool { return from == alone || to == alone }
+	si.runFor(60 * time.Second)
+	require.Less(t, alone.de.Counts()["dc-0"].Alive, 20, "a node without contact keeps no verdicts")
+	si.cut = nil
+	si.suspicions = 0
+	si.requireSettled(t, 40*time.Second, "rejoin")
+	require.LessOrEqual(t, si.suspicions, 2*len(si.nodes), "others were suspected")
+}
+
+// Guards against message loss that removes members.
+func TestLoss(t *testing.T) {
+	si := newSim(5, 100, 3, Config{})
+	si.startAll()
+	si.loss = 0.05
+	si.deaths = 0
+	si.runFor(60 * time.Second)
+	t.Logf("5%% loss each way for 60 s at 100 nodes: %d suspicions seen, %d deaths", si.suspicions, si.deaths)
+	require.Zero(t, si.deaths)
+	si.loss = 0
+	si.requireSettled(t, 30*time.Second, "after loss")
+}
+
+// drawFault puts a random fault into the fleet.
+func drawFault(rt *rapid.T, si *sim) {
+	node := func(name string) *simNode {
+		return si.nodes[rapid.IntRange(0, len(si.nodes)-1).Draw(rt, name)]
+	}
+	switch rapid.SampledFrom([]string{
+		"stop", "restart", "freeze", "thaw", "loss", "oneWay", "bothWays", "herd", "change",
+		"leave", "heal",
+	}).Draw(rt, "fault") {
+	case "stop":
+		si.stop(node("node"))
+	case "restart":
+		no := node("node")
+		si.stop(no)
+		si.clock = time.Duration(rapid.IntRange(-3600, 60).Draw(rt, "clock")) * time.Second
+		si.start(no)
+	case "freeze":
+		node("node").frozen = true
+	case "thaw":
+		node("node").frozen = false
+	case "loss":
+		si.loss = rapid.Float64Range(0, 0.3).Draw(rt, "loss")
+	case "oneWay":
+		dc := node("node").dc
+		si.cut = func(from, to *simNode) bool { return from.dc == dc && to.dc != dc }
+	case "bothWays":
+		dc := node("node").dc
+		si.cut = func(from, to *simNode) bool { return (from.dc == dc) != (to.dc == dc) }
+	case "herd":
+		for nn, no := range si.nodes {
+			if nn%5 != 0 {
+				si.stop(no)
+				if rapid.Bool().Draw(rt, "returns") {
+					si.start(no)
+				}
+			}
+		}
+	case "change":
+		if no := node("node"); no.de != nil {
+			no.de.Change(func(me *Member) { me.Slots++ }, si.now)
+		}
+	case "leave":
+		if no := node("node"); no.de != nil && !no.frozen {
+			no.de.Leave(si.now)
+			si.runFor(time.Second)
+			si.stop(no)
+		}
+	case "heal":
+		si.cut, si.loss = nil, 0
+	}
+}
+
+// Guards against any sequence of faults that makes an incarnation go back,
+// leaves a live reachable member dead or a dead one alive after healing, or
+// keeps a dead one beyond its time.
+func TestRandomFaults(t *testing.T) {
+	const deadTime = 2 * time.Minute
+	before := asserter.Violations()
+	rapid.Check(t, func(rt *rapid.T) {
+		count := rapid.IntRange(2, 24).Draw(rt, "count")
+		dcs := rapid.IntRange(1, 4).Draw(rt, "dcs")
+		si := newSim(rapid.Uint64().Draw(rt, "seed"), count, dcs, Config{DeadTime: deadTime})
+		if rapid.Bool().Draw(rt, "known") {
+			si.startAll()
+		} else {
+			for _, no := range si.nodes {
+				si.start(no)
+			}
+		}
+		for range rapid.IntRange(1, 12).Draw(rt, "faults") {
+			drawFault(rt, si)
+			si.runFor(time.Duration(rapid.IntRange(1, 20_000).Draw(rt, "wait")) * time.Millisecond)
+			require.Empty(rt, si.fault)
+		}
+		si.cut, si.loss = nil, 0
+		for _, no := range si.nodes {
+			no.frozen = false
+		}
+		if si.nodes[0].de == nil { // a seed must run for nodes that know nobody
+			si.start(si.nodes[0])
+		}
+		si.requireSettled(rt, 2*time.Minute, "after healing")
+		si.runFor(deadTime + 5*time.Second)
+		for _, no := range si.up() {
+			for _, me := range no.de.Members() {
+				require.Less(rt, me.State, Dead, "%v still remembers %v", no.id, me.Node)
+			}
+			require.Equal(rt, si.up()[0].de.Digest(), no.de.Digest())
+		}
+		requireNoViolations(rt, before)
+	})
+}
--- /dev/null
+++ b/internal/gossiper/gossiper.go
@@ -0,0 +1,338 @@
+// Package gossiper runs a [detector.Detector] over the links between nodes: it
+// carries out the probes and exchanges the detector asks for, answers those of
+// the peers, and tells the rest of the node which members there are.
+package gossiper
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/guavastall/guavastall/internal/detector"
+	"github.com/guavastall/guavastall/pkg/checker"
+)
+
+// Name is the name the receiver is registered under.
+const Name = "Gossiper"
+
+// Caller makes calls to nodes; a linker.Pool is one.
+type Caller interface {
+	Call(ctx context.Context, node checker.NodeID, method string, args, reply any) error
+	Keep(nodes []checker.NodeID)
+	MarkRepeatable(names ...string)
+}
+
+// Config holds the settings of a Gossiper. Zero durations take the defaults.
+type Config struct {
+	// Self describes the node. A zero incarnation is made from the clock.
+	Self detector.Member
+	// Detector holds the settings of the detector, the seeds among them.
+	Detector detector.Config
+	// TickTime is the time between ticks of the detector; default 100 ms.
+	TickTime time.Duration
+	// PingTime bounds a ping, with the attempt over a fresh link; default 1 s.
+	PingTime time.Duration
+	// Log receives a line for each change of a member's state; nil drops them.
+	Log logrus.FieldLogger
+}
+
+// Gossiper is the shell of a detector. It is safe for concurrent use.
+type Gossiper struct {
+	config Config
+	caller Caller
+	// results takes the outcome of actions back to the loop.
+	results chan result
+	// wake makes the loop tick at once.
+	wake chan struct{}
+	// probes bounds the pings made for other nodes.
+	probes chan struct{}
+
+	mu       sync.Mutex
+	detector *detector.Detector
+	// members is the snapshot of the version; nil if it is outdated.
+	members []detector.Member
+	version uint64
+	states  map[checker.NodeID]detector.State
+	// changed is closed when the members or notes change.
+	changed chan struct{}
+}
+
+// result is the outcome of an action: a change of the detector.
+type result func(now time.Time)
+
+// maxProbes bounds the pings made for other nodes at the same time.
+const maxProbes = 32
+
+// New returns a Gossiper that has not started.
+func New(co Config, ca Caller) *Gossiper {
+	now := time.Now()
+	if co.Self.Incarnation == 0 {
+		co.Self.Incarnation = detector.FirstIncarnation(now)
+	}
+	if co.TickTime == 0 {
+		co.TickTime = 100 * time.Millisecond
+	}
+	if co.PingTime == 0 {
+		co.PingTime = time.Second
+	}
+	ca.MarkRepeatable(Name)
+	return &Gossiper{
+		config: co, caller: ca, detector: detector.New(co.Self, co.Detector, now),
+		results: make(chan result), wake: make(chan struct{}, 1),
+		probes: make(chan struct{}, maxProbes), changed: make(chan struct{}),
+		states: map[checker.NodeID]detector.State{},
+	}
+}
+
+// Start runs the Gossiper until the context ends. The channel is closed when
+// all its goroutines have ended.
+func (gs *Gossiper) Start(ctx context.Context) <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		gs.run(ctx)
+	}()
+	return ended
+}
+
+// run is the loop: it ticks, starts actions and takes in their results.
+func (gs *Gossiper) run(ctx context.Context) {
+	ticker := time.NewTicker(gs.config.TickTime)
+	defer ticker.Stop()
+	var running int
+	var kept []checker.NodeID
+	for ctx.Err() == nil || running > 0 {
+		if ctx.Err() == nil {
+			for _, ac := range gs.tick(&kept) {
+				running++
+				go gs.act(ctx, ac)
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-gs.wake:
+		case re := <-gs.results:
+			running--
+			gs.update(re)
+		case <-done(ctx, running):
+		}
+	}
+}
+
+// done returns the channel that ends the wait of the loop: none while actions
+// run, because each of them reports its end.
+func done(ctx context.Context, running int) <-chan struct{} {
+	if running > 0 {
+		return nil
+	}
+	return ctx.Done()
+}
+
+// tick returns the actions that are due, and keeps the links to the neighbours.
+func (gs *Gossiper) tick(kept *[]checker.NodeID) []detector.Action {
+	gs.mu.Lock()
+	actions := gs.detector.Tick(time.Now())
+	gs.noticeChange()
+	neighbours := gs.detector.Neighbours()
+	gs.mu.Unlock()
+	if !slices.Equal(*kept, neighbours) {
+		gs.caller.Keep(neighbours)
+		*kept = neighbours
+	}
+	return actions
+}
+
+// update applies a change to the detector.
+func (gs *Gossiper) update(re result) {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	re(time.Now())
+	gs.noticeChange()
+}
+
+// noticeChange logs changes of state and wakes those who wait for a change;
+// the mutex is held.
+func (gs *Gossiper) noticeChange() {
+	if gs.detector.Version() == gs.version {
+		return
+	}
+	gs.version = gs.detector.Version()
+	gs.members = nil
+	if gs.config.Log != nil {
+		gs.logStates()
+	}
+	close(gs.changed)
+	gs.changed = make(chan struct{})
+}
+
+// logStates logs each member whose state changed since the last call.
+func (gs *Gossiper) logStates() {
+	gs.members = gs.detector.Members()
+	states := make(map[checker.NodeID]detector.State, len(gs.members))
+	for _, me := range gs.members {
+		states[me.Node] = me.State
+		if was, ok := gs.states[me.Node]; !ok || was != me.State {
+			gs.config.Log.WithFields(logrus.Fields{
+				"member": me.Node, "state": me.State, "incarnation": me.Incarnation,
+				"dataCentre": me.DataCentre,
+			}).Info("member changed")
+		}
+	}
+	for node := range gs.states {
+		if _, ok := states[node]; !ok {
+			gs.config.Log.WithField("member", node).Info("member forgotten")
+		}
+	}
+	gs.states = states
+}
+
+// act carries out an action and reports its result to the loop.
+func (gs *Gossiper) act(ctx context.Context, ac detector.Action) {
+	switch ac.Kind {
+	case detector.Ping:
+		re, _ := gs.ping(ctx, ac)
+		gs.results <- re
+	case detector.PingVia:
+		gs.results <- gs.pingVia(ctx, ac)
+	default:
+		gs.results <- gs.exchange(ctx, ac)
+	}
+}
+
+func (gs *Gossiper) missed(ac detector.Action) result {
+	return func(now time.Time) { gs.detector.Missed(ac, now) }
+}
+
+// ping makes a ping and reports whether the target answered.
+func (gs *Gossiper) ping(ctx context.Context, ac detector.Action) (result, bool) {
+	ctx, cancel := context.WithTimeout(ctx, gs.config.PingTime)
+	defer cancel()
+	var wi PingMessage
+	err := gs.caller.Call(ctx, ac.Target, Name+".Ping", encodePing(ac.Message), &wi)
+	if err != nil {
+		return gs.missed(ac), false
+	}
+	answer, err := decodePing(wi)
+	if err != nil || answer.From != ac.Target {
+		return gs.missed(ac), false
+	}
+	return func(now time.Time) { gs.detector.Acked(ac, answer, now) }, true
+}
+
+func (gs *Gossiper) pingVia(ctx context.Context, ac detector.Action) result {
+	ctx, cancel := context.WithTimeout(ctx, 2*gs.config.PingTime)
+	defer cancel()
+	var answer ViaAnswer
+	err := gs.caller.Call(ctx, ac.Via, Name+".PingVia", ViaRequest{Target: ac.Target}, &answer)
+	switch {
+	case err != nil:
+		return gs.missed(ac)
+	case !answer.Reached:
+		return func(now time.Time) { gs.detector.Denied(ac, now) }
+	default:
+		return func(now time.Time) { gs.detector.Acked(ac, detector.Message{}, now) }
+	}
+}
+
+func (gs *Gossiper) exchange(ctx context.Context, ac detector.Action) result {
+	ctx, cancel := context.WithTimeout(ctx, 2*gs.config.PingTime)
+	defer cancel()
+	var wi ExchangeMessage
+	err := gs.caller.Call(ctx, ac.Target, Name+".Exchange", encodeOffer(ac.Offer), &wi)
+	if err != nil {
+		return gs.missed(ac)
+	}
+	answer, err := decodeOffer(wi)
+	if err != nil {
+		return gs.missed(ac)
+	}
+	return func(now time.Time) { gs.detector.Exchanged(ac, answer, now) }
+}
+
+// Members returns every known member, with the node itself, ordered by node,
+// and a channel that is closed when the members or notes change. The caller
+// must not change the slice.
+func (gs *Gossiper) Members() ([]detector.Member, <-chan struct{}) {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	if gs.members == nil {
+		gs.members = gs.detector.Members()
+	}
+	return gs.members, gs.changed
+}
+
+// Self returns the node's own record.
+func (gs *Gossiper) Self() detector.Member {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	return gs.detector.Self()
+}
+
+// Counts returns how many members each data centre has.
+func (gs *Gossiper) Counts() map[checker.DataCentre]detector.Count {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	return gs.detector.Counts()
+}
+
+// SetSeeds replaces the addresses to try when few members are known.
+func (gs *Gossiper) SetSeeds(seeds []checker.NodeID) {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	gs.detector.SetSeeds(seeds)
+}
+
+// Change changes the node's own record, such as its version or slots, and
+// spreads it.
+func (gs *Gossiper) Change(change func(*detector.Member)) {
+	gs.update(func(now time.Time) { gs.detector.Change(change, now) })
+	gs.wakeUp()
+}
+
+// Drain spreads that the node takes no new work.
+func (gs *Gossiper) Drain() { gs.Change(func(me *detector.Member) { me.Draining = true }) }
+
+// Leave spreads that the node leaves. It returns when the neighbours know or
+// the context ends; the loop must be running.
+func (gs *Gossiper) Leave(ctx context.Context) error {
+	gs.update(func(now time.Time) { gs.detector.Leave(now) })
+	ticker := time.NewTicker(gs.config.TickTime / 4)
+	defer ticker.Stop()
+	for {
+		gs.wakeUp()
+		gs.mu.Lock()
+		spread := gs.detector.Spread()
+		gs.mu.Unlock()
+		if spread {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// SetNote spreads a note if it supersedes the known one.
+func (gs *Gossiper) SetNote(no detector.Note) {
+	gs.update(func(time.Time) { gs.detector.SetNote(no) })
+	gs.wakeUp()
+}
+
+// Notes returns the notes by key.
+func (gs *Gossiper) Notes() map[string]detector.Note {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	return gs.detector.Notes()
+}
+
+func (gs *Gossiper) wakeUp() {
+	select {
+	case gs.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/gossiper/receiver.go
@@ -0,0 +1,62 @@
+package gossiper
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/guavastall/guavastall/internal/detector"
+)
+
+// Receiver answers the calls of peers; register it as [Name].
+type Receiver struct {
+	gossiper *Gossiper
+}
+
+// Receiver returns the receiver of the calls of peers.
+func (gs *Gossiper) Receiver() *Receiver { return &Receiver{gossiper: gs} }
+
+// Ping answers a probe.
+func (rc *Receiver) Ping(args PingMessage, reply *PingMessage) error {
+	ms, err := decodePing(args)
+	if err != nil {
+		return err
+	}
+	var answer detector.Message
+	rc.gossiper.update(func(now time.Time) { answer = rc.gossiper.detector.Pinged(ms, now) })
+	*reply = encodePing(answer)
+	return nil
+}
+
+// PingVia pings the target for the caller.
+func (rc *Receiver) PingVia(args ViaRequest, reply *ViaAnswer) error {
+	gs := rc.gossiper
+	if !args.Target.IsValid() {
+		return errMessage
+	}
+	select {
+	case gs.probes <- struct{}{}:
+		defer func() { <-gs.probes }()
+	default:
+		return errors.New("too many probes for other nodes")
+	}
+	var ac detector.Action
+	gs.update(func(now time.Time) { ac = gs.detector.Probe(args.Target, now) })
+	// The ping bounds its own time; the server waits for it when it closes.
+	re, reached := gs.ping(context.Background(), ac)
+	gs.update(re)
+	*reply = ViaAnswer{Reached: reached}
+	return nil
+}
+
+// Exchange answers an offer.
+func (rc *Receiver) Exchange(args ExchangeMessage, reply *ExchangeMessage) error {
+	of, err := decodeOffer(args)
+	if err != nil {
+		return err
+	}
+	var answer detector.Offer
+	rc.gossiper.update(func(now time.Time) { answer = rc.gossiper.detector.Offered(of, now) })
+	*reply = encodeOffer(answer)
+	return nil
+}
