Keep calls that cross the end of a connection

Cause: a planned stop lost calls in two ways. http.Transport reported a call as failed when it read the farewell just before it knew of the call, and rejections of a draining node closed each connection, so that callers opened new ones which the closing listener reset. Connections now end with their next response; only those idle for 500 ms get a farewell, and the client side notices one itself. A foreign response without a body no longer leaves its connection in the pool. Conclusion: a connection that is opened in the microseconds before the listener closes can still be reset; peers should learn of the stop first.

--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -23,6 +24,21 @@
 type conn struct {
 	net.Conn
 	state atomic.Uint64
+	// begins says that the next byte read begins a response.
+	begins atomic.Bool
+	// farewell says that the peer's server has ended the connection: a call
+	// sent on it without a response has not run, and will not.
+	farewell atomic.Bool
+}
+
+// Read notices a farewell. http.Transport does not report one that it reads
+// just before it knows of the call that crosses it.
+func (co *conn) Read(data []byte) (int, error) {
+	nn, err := co.Conn.Read(data)
+	if nn > 0 && co.begins.Swap(false) && bytes.HasPrefix(data[:nn], farewellText) {
+		co.farewell.Store(true)
+	}
+	return nn, err
 }
 
 // Write counts the write before it begins, so that a call sealed in the
@@ -75,9 +91,23 @@
 	wa.conn, _ = info.Conn.(*conn)
 	if wa.conn != nil {
 		wa.start = wa.conn.writes()
+		wa.conn.begins.Store(true)
+	}
+}
+
+// read notes that the response was read to its end.
+func (wa *watch) read() {
+	if wa.conn != nil {
+		wa.conn.begins.Store(true)
 	}
 }
 
+// left reports whether the peer's server has ended the connection without
+// running the call.
+func (wa *watch) left() bool {
+	return wa.conn != nil && wa.conn.farewell.Load()
+}
+
 // seal ends the attempt and reports whether a byte of it may have been sent.
 // No byte is sent afterwards, and the connection is not used again.
 func (wa *watch) seal() bool {
--- a/internal/forwarder/drain_test.go
+++ b/internal/forwarder/drain_test.go
@@ -164,7 +164,7 @@
 // Guards against a planned stop that loses a call, when the stopping node is
 // the last one and when it is the first one of calls under way.
 func TestPlannedStopLosesNoCall(t *testing.T) {
-	for _, role := range []string{"last node", "first node"} {
+	for _, role := range []string{"last node", "last node without linger", "first node"} {
 		t.Run(role, func(t *testing.T) {
 			target, address := startTarget(t, func(se *targetserver.Settings) {
 				se.WorkTime = checker.Duration(time.Millisecond)
@@ -176,7 +176,11 @@
 			leaving.setTable(nil, leaving.id, staying.id)
 			staying.setTable(nil, staying.id)
 			wo := &workers{t: t, bad: make(chan string, 1000)}
-			if role == "last node" {
+			if role != "first node" {
+				if role != "last node" {
+					// Farewells cross calls under way.
+					leaving.peers.linger = 0
+				}
 				wo.start(16, first.caller, staying.caller)
 			} else {
 				wo.start(16, leaving.caller, staying.caller)
--- a/internal/forwarder/guard_test.go
+++ b/internal/forwarder/guard_test.go
@@ -65,6 +65,7 @@
 		body                 []byte
 	}{
 		{"get", http.MethodGet, "", nil},
+		{"get with body", http.MethodGet, "", []byte("x")},
 		{"head", http.MethodHead, "", nil},
 		{"options", http.MethodOptions, "", nil},
 		{"trace", http.MethodTrace, "", nil},
@@ -389,27 +390,96 @@
 }
 
 // Guards against the response of another call, or of something that is not a
-// node, being passed on to the caller.
+// node, being passed on to the caller, and against its connection being used
+// for another call.
 func TestForeignResponse(t *testing.T) {
-	for name, echo := range map[string]string{"other call": "other", "no node": ""} {
+	for name, tt := range map[string]struct{ echo, body string }{
+		"other call": {"other", "not yours"}, "no node": {"", "not yours"}, "no body": {"other", ""},
+	} {
 		t.Run(name, func(t *testing.T) {
-			peer := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				if echo != "" {
-					w.Header().Set(headerHop, echo)
-					expectedViolations.Add(1)
+			var conns atomic.Int64
+			peer := rawServer(t, func(nc net.Conn, _ int) {
+				conns.Add(1)
+				rd := bufio.NewReader(nc)
+				for {
+					if _, err := http.ReadRequest(rd); err != nil {
+						return
+					}
+					_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: answered\r\n"+
+						"Content-Length: %d\r\n\r\n%s", headerHop, tt.echo, headerOutcome, len(tt.body), tt.body)
 				}
-				w.Header().Set(headerOutcome, "answered")
-				_, _ = io.WriteString(w, "not yours")
-			}))
+			})
 			first := startNode(t, options{})
 			first.setTable(nil, peer)
-			an := post(t, first.caller, "/confirm", "a", nil)
-			an.requireError(t, answerer.OutcomeUnknown, "unknown")
-			require.NotContains(t, an.body, "not yours")
+			for nn := range int64(2) {
+				if tt.echo != "" {
+					expectedViolations.Add(1)
+				}
+				an := post(t, first.caller, "/confirm", "a", nil)
+				an.requireError(t, answerer.OutcomeUnknown, "unknown")
+				require.NotContains(t, an.body, "not yours")
+				require.Equal(t, nn+1, conns.Load())
+			}
 		})
 	}
 }
 
+// Guards against a call that may have run being reported not run because a
+// later attempt of it did not run.
+func TestDoubtRemains(t *testing.T) {
+	target, address := startTarget(t, func(se *targetserver.Settings) {
+		se.Faults = []targetserver.Fault{{Kind: targetserver.FaultReset}}
+	})
+	reset, full := startNode(t, options{target: address}), startNode(t, options{target: address, limit: 1})
+	require.True(t, full.limiter.Offer(time.Now()))
+	first := startNode(t, options{})
+	first.setTable(nil, reset.id, full.id)
+	an := get(t, first.caller, "/scan", "a")
+	an.requireError(t, answerer.OutcomeUnknown, "unknown")
+	require.Equal(t, 1, target.Executions("a"))
+}
+
+// Guards against calls that run into one silent connection after another when
+// new connections to the same peer work.
+func TestSilentConnections(t *testing.T) {
+	const pooled = 4
+	var silent atomic.Bool
+	var together sync.WaitGroup
+	together.Add(pooled)
+	address := rawServer(t, func(nc net.Conn, number int) {
+		rd := bufio.NewReader(nc)
+		for {
+			req, err := http.ReadRequest(rd)
+			if err != nil {
+				return
+			}
+			if number < pooled && !silent.Load() {
+				together.Done()
+				together.Wait()
+			}
+			if silent.Load() && number < pooled {
+				continue
+			}
+			_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: answered\r\nContent-Length: 2\r\n\r\nok",
+				headerHop, req.Header.Get(headerHop), headerOutcome)
+		}
+	})
+	first := startNode(t, options{})
+	first.setTable(nil, address)
+	answers := make(chan answer, pooled)
+	for range pooled {
+		go func() { answers <- post(t, first.caller, "/confirm", "a", nil) }()
+	}
+	for range pooled {
+		require.Equal(t, "ok", (<-answers).body)
+	}
+	silent.Store(true)
+	req := newRequest(t, http.MethodPost, first.caller, "/confirm", "b", nil)
+	req.Header.Set(headerTimeout, "50ms")
+	do(req).requireError(t, answerer.DeadlineExceeded, "unknown")
+	require.Equal(t, "ok", post(t, first.caller, "/confirm", "c", nil).body)
+}
+
 // Guards against malformed, oversized and slow request heads being answered
 // without kind and outcome, or not at all.
 func TestMalformedRequests(t *testing.T) {
--- a/internal/forwarder/reply.go
+++ b/internal/forwarder/reply.go
@@ -51,14 +51,19 @@
 	resp, err := tr.RoundTrip(ca.outgoing(ctx, ho, rp.began))
 	if err == nil {
 		rp.resp = resp
-		rp.atEOF = resp.Body == http.NoBody
+		if resp.Body == http.NoBody {
+			rp.setEOF()
+		}
 		return true
 	}
+	left := ho.id != "" && rp.watch.left()
 	rp.outcome = retrier.NotRun
-	if rp.watch.seal() {
+	if rp.watch.seal() && !left {
 		rp.outcome = retrier.Unknown
 	}
 	switch {
+	case left:
+		rp.err = answerer.Wrap(err, answerer.Draining, "call "+ho.to.String())
 	case ca.body.stream != nil && ca.body.stream.over.Load():
 		rp.err = errTooLarge
 	case ended(ctx):
@@ -111,7 +116,13 @@
 		rp.abandon()
 		return
 	}
+	rp.setEOF()
+}
+
+// setEOF notes that the response was read to its end.
+func (rp *reply) setEOF() {
 	rp.atEOF = true
+	rp.watch.read()
 }
 
 // maxMessageBytes bounds the error body that is read from another node.
@@ -124,6 +135,8 @@
 		head.Get(headerError) == answerer.Draining.String()
 	if echo := head.Get(headerHop); echo != id && !farewell {
 		asserter.That(echo == "", "ownResponse", "response of call %q to call %q", echo, id)
+		// The connection is out of step, even if the response was read whole.
+		rp.watch.seal()
 		rp.abandon()
 		rp.outcome = retrier.Unknown
 		rp.err = answerer.New(answerer.OutcomeUnknown,
@@ -180,7 +193,7 @@
 	}
 	nn, err := rp.resp.Body.Read(data)
 	if err == io.EOF {
-		rp.atEOF = true
+		rp.setEOF()
 	}
 	return nn, err
 }
--- a/internal/forwarder/respond.go
+++ b/internal/forwarder/respond.go
@@ -48,7 +48,7 @@
 	header[headerContent] = []string{"application/json"}
 	header["Content-Length"] = []string{strconv.Itoa(len(body))}
 	fw.setLoad(header)
-	if ki == answerer.BadRequest || fw.gate.isDraining() {
+	if ki == answerer.BadRequest {
 		header[headerClose] = []string{"close"}
 	}
 	w.WriteHeader(ki.Answer().Status)
@@ -99,9 +99,6 @@
 		header[headerVersion] = []string{string(fw.config.Target.Version)}
 		fw.setLoad(header)
 	}
-	if fw.gate.isDraining() {
-		header[headerClose] = []string{"close"}
-	}
 	w.WriteHeader(rp.resp.StatusCode)
 	en := complete
 	switch {
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/guavastall/guavastall/internal/answerer"
@@ -27,21 +28,27 @@
 	serverIdleTimeout = 2 * idleTimeout
 	// farewellTime bounds the wait for clients to close after a farewell.
 	farewellTime = time.Second
+	// lingerTime is how long a connection must be idle before its farewell.
+	// A busy client sends its next call before that, and its response closes
+	// the connection without any crossing.
+	lingerTime = 500 * time.Millisecond
 )
 
 // Server is an http.Server that can stop without losing a call.
 //
 // http.Server.Shutdown closes idle connections while a request may be on its
-// way to them; its sender cannot know whether it ran. Drain instead sends a
-// "not run" response on each idle connection and never runs a request that
-// crosses it.
+// way to them; its sender cannot know whether it ran. Drain instead closes
+// each connection with its next response, sends a "not run" response on those
+// that stay idle, and never runs a request that crosses it.
 type Server struct {
 	server *http.Server
+	linger time.Duration
+
+	leaving atomic.Bool
 
 	mu       sync.Mutex
 	conns    map[*serverConn]struct{}
 	listener net.Listener
-	leaving  bool
 }
 
 // NewServer returns a server for the handler. Errors of connections go to the
@@ -50,7 +57,7 @@
 	if lo == nil {
 		lo = log.New(io.Discard, "", 0)
 	}
-	sv := &Server{conns: map[*serverConn]struct{}{}}
+	sv := &Server{conns: map[*serverConn]struct{}{}, linger: lingerTime}
 	sv.server = &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			sc, ok := r.Context().Value(connKey{}).(*serverConn)
@@ -58,6 +65,9 @@
 				// The connection got its farewell, which says "not run".
 				panic(http.ErrAbortHandler)
 			}
+			if sv.leaving.Load() {
+				w.Header()[headerClose] = []string{"close"}
+			}
 			handler.ServeHTTP(w, r)
 		}),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -78,55 +88,69 @@
 func (sv *Server) Serve(ln net.Listener) error {
 	sv.mu.Lock()
 	sv.listener = ln
-	leaving := sv.leaving
+	leaving := sv.leaving.Load()
 	sv.mu.Unlock()
 	if leaving {
 		return ln.Close()
 	}
 	err := sv.server.Serve(listener{ln})
-	sv.mu.Lock()
-	defer sv.mu.Unlock()
-	if sv.leaving || errors.Is(err, http.ErrServerClosed) {
+	if sv.leaving.Load() || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
 }
 
-// Drain stops accepting, lets the calls in flight finish and says farewell on
-// every idle connection. It returns when all connections are closed, or closes
-// them when the context ends and returns its error.
+// Drain stops accepting, lets the calls in flight finish and ends every
+// connection. It returns when all are closed, or closes them when the context
+// ends and returns its error.
+//
+// Closing the listener resets connections that the system has opened but Serve
+// has not accepted yet, some microseconds after their opening. Peers should
+// know that the node is leaving before Drain, so that they open none.
 func (sv *Server) Drain(ctx context.Context) error {
-	sv.mu.Lock()
-	sv.leaving = true
-	if sv.listener != nil {
-		_ = sv.listener.Close()
-	}
-	for sc := range sv.conns {
-		sc.farewell()
-	}
-	sv.mu.Unlock()
+	sv.leave()
+	began := time.Now()
 	ticker := time.NewTicker(pollPeriod)
 	defer ticker.Stop()
-	for sv.Conns() > 0 {
+	for sv.sayFarewell(began) > 0 {
 		select {
 		case <-ctx.Done():
-			_ = sv.server.Close()
+			_ = sv.Close()
 			return ctx.Err()
 		case <-ticker.C:
 		}
 	}
-	return sv.server.Close()
+	return sv.Close()
 }
 
-// Close closes the listener and all connections at once.
-func (sv *Server) Close() error {
+// sayFarewell ends the connections that have been idle long enough and returns
+// the number of those open.
+func (sv *Server) sayFarewell(began time.Time) int {
 	sv.mu.Lock()
-	sv.leaving = true
+	defer sv.mu.Unlock()
+	for sc := range sv.conns {
+		sc.farewell(began, sv.linger)
+	}
+	return len(sv.conns)
+}
+
+// leave closes the listener.
+func (sv *Server) leave() {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.leaving.Store(true)
 	if sv.listener != nil {
 		_ = sv.listener.Close()
 	}
-	sv.mu.Unlock()
-	return sv.server.Close()
+}
+
+// Close closes the listener and all connections at once.
+func (sv *Server) Close() error {
+	sv.leave()
+	if err := sv.server.Close(); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil // the listener was closed before
 }
 
 // Conns returns the number of open connections.
@@ -146,19 +170,9 @@
 	case http.StateNew:
 		sv.mu.Lock()
 		sv.conns[sc] = struct{}{}
-		leaving := sv.leaving
 		sv.mu.Unlock()
-		if leaving {
-			sc.farewell()
-		}
 	case http.StateIdle:
 		sc.end()
-		sv.mu.Lock()
-		leaving := sv.leaving
-		sv.mu.Unlock()
-		if leaving {
-			sc.farewell()
-		}
 	case http.StateClosed, http.StateHijacked:
 		sv.mu.Lock()
 		delete(sv.conns, sc)
@@ -188,6 +202,8 @@
 	mu   sync.Mutex
 	busy bool
 	left bool
+	// idleSince is when the last response ended; zero before the first.
+	idleSince time.Time
 }
 
 // begin marks the start of a handler; it reports false after a farewell.
@@ -203,7 +219,7 @@
 
 func (sc *serverConn) end() {
 	sc.mu.Lock()
-	sc.busy = false
+	sc.busy, sc.idleSince = false, time.Now()
 	sc.mu.Unlock()
 }
 
@@ -217,15 +233,20 @@
 // farewell ends an idle connection: it answers a request that may be on its
 // way, and leaves the closing to the client, because closing with unread bytes
 // would reset the connection before the client has read the answer.
-func (sc *serverConn) farewell() {
+func (sc *serverConn) farewell(began time.Time, linger time.Duration) {
+	now := time.Now()
 	sc.mu.Lock()
-	if sc.busy || sc.left {
+	since := began
+	if sc.idleSince.After(began) {
+		since = sc.idleSince
+	}
+	if sc.busy || sc.left || now.Sub(since) < linger {
 		sc.mu.Unlock()
 		return
 	}
 	sc.left = true
 	sc.mu.Unlock()
-	end := time.Now().Add(farewellTime)
+	end := now.Add(farewellTime)
 	_ = sc.SetWriteDeadline(end)
 	_, _ = sc.Conn.Write(farewellText)
 	_ = sc.CloseWrite()
