Reduce the allocations of a call

Cause: the allocation profile shows net/http itself first; of the node's own part, the slices of single header values, the address text of each attempt and the trace stand out. Conclusion: what is left is the deadline's context, the trace's context and the copies that http.Server and http.Transport make.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -6,7 +6,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -45,6 +44,19 @@
 	// the others send copies.
 	header http.Header
 	body   callBody
+	// values holds the values of single headers, which need a slice each.
+	values [8]string
+	used   int
+}
+
+// value returns a header value of its own slice.
+func (ca *call) value(text string) []string {
+	if ca.used == len(ca.values) {
+		return []string{text}
+	}
+	ca.values[ca.used] = text
+	ca.used++
+	return ca.values[ca.used-1 : ca.used : ca.used]
 }
 
 // parseCall reads what both roles need from a request. The error has kind
@@ -136,7 +148,7 @@
 
 // hop says where an attempt goes.
 type hop struct {
-	to netip.AddrPort
+	to string
 	// id and once are set for an attempt at another node.
 	id, once string
 	// number counts the attempts of the call at this node, from 1.
@@ -152,22 +164,23 @@
 // GetBody is never set, the key headers are in lower case, and a request of
 // such a method without a body gets one that is empty but not nil.
 func (ca *call) outgoing(ctx context.Context, ho hop, now time.Time) *http.Request {
-	header := ca.header
+	header, value := ca.header, ca.value
 	if ho.number > 1 || ho.shared {
 		header = maps.Clone(header)
+		value = func(text string) []string { return []string{text} }
 	}
 	remaining := ca.deadline.Sub(now).Round(time.Microsecond)
-	header[headerTimeout] = []string{remaining.String()}
-	header[headerDepth] = []string{strconv.Itoa(ca.depth)}
+	header[headerTimeout] = value(remaining.String())
+	header[headerDepth] = value(strconv.Itoa(ca.depth))
 	if ho.id != "" {
-		header[headerHop] = []string{ho.id}
-		header[headerService] = []string{string(ca.service)}
+		header[headerHop] = value(ho.id)
+		header[headerService] = value(string(ca.service))
 	}
 	if ho.once != "" {
-		header[headerOnce] = []string{ho.once}
+		header[headerOnce] = value(ho.once)
 	}
 	address := *ca.request.URL
-	address.Scheme, address.Host, address.User = "http", ho.to.String(), nil
+	address.Scheme, address.Host, address.User = "http", ho.to, nil
 	req := &http.Request{
 		Method: ca.request.Method, URL: &address, Host: ca.request.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: header,
--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -75,12 +76,6 @@
 	wrote bool
 }
 
-func newWatch() *watch {
-	wa := &watch{}
-	wa.trace.GotConn = wa.gotConn
-	return wa
-}
-
 func (wa *watch) gotConn(info httptrace.GotConnInfo) {
 	if wa.conn != nil {
 		// The library moved the request to another connection by itself. It
@@ -128,12 +123,19 @@
 	keepAlivePeriod        = 15 * time.Second
 )
 
-// newTransport returns the connection pool to one address.
-func newTransport(dialTimeout time.Duration, localAddr net.Addr, conns int) *http.Transport {
+// pool is the connection pool to one address.
+type pool struct {
+	*http.Transport
+	address string
+}
+
+func newPool(
+	to netip.AddrPort, dialTimeout time.Duration, localAddr net.Addr, conns int,
+) *pool {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout, KeepAlive: keepAlivePeriod, LocalAddr: localAddr,
 	}
-	return &http.Transport{
+	tr := &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			nc, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
@@ -147,4 +149,5 @@
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		DisableCompression:     true,
 	}
+	return &pool{tr, to.String()}
 }
--- a/internal/forwarder/first.go
+++ b/internal/forwarder/first.go
@@ -189,7 +189,7 @@
 		return rp
 	}
 	rp := &reply{began: now, endpoint: en}
-	ho.to, ho.id = en.Node, jo.call.id
+	ho.id = jo.call.id
 	if rp.roundTrip(ctx, jo.call, fw.peer(en.Node), ho) {
 		rp.fromPeer(ctx, jo.call.id)
 	} else if rp.outcome == retrier.Unknown &&
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -162,10 +162,10 @@
 	parts  Parts
 	gate   *gate
 	once   *once
-	target *http.Transport
+	target *pool
 
 	mu    sync.RWMutex
-	peers map[checker.NodeID]*http.Transport
+	peers map[checker.NodeID]*pool
 
 	callers flight
 	remote  flight
@@ -194,13 +194,13 @@
 		pa.Log = nothing{}
 	}
 	fw := &Forwarder{
-		config: cf, parts: pa, peers: map[checker.NodeID]*http.Transport{},
+		config: cf, parts: pa, peers: map[checker.NodeID]*pool{},
 		gate:       &gate{limiter: pa.Limiter, now: cf.Now},
 		callPrefix: strconv.FormatUint(rand.Uint64(), 36) + "-",
 	}
 	fw.once = newOnce(pa.Claimer, cf.Now)
 	if cf.Target != nil {
-		fw.target = newTransport(cf.DialTimeout, nil, cf.Target.Connections)
+		fw.target = newPool(cf.Target.Address, cf.DialTimeout, nil, cf.Target.Connections)
 	}
 	return fw, nil
 }
@@ -282,7 +282,7 @@
 }
 
 // peer returns the connection pool to a node.
-func (fw *Forwarder) peer(node checker.NodeID) *http.Transport {
+func (fw *Forwarder) peer(node checker.NodeID) *pool {
 	fw.mu.RLock()
 	tr := fw.peers[node]
 	fw.mu.RUnlock()
@@ -296,7 +296,7 @@
 		if fw.config.LocalAddr.IsValid() {
 			local = net.TCPAddrFromAddrPort(netip.AddrPortFrom(fw.config.LocalAddr, 0))
 		}
-		tr = newTransport(fw.config.DialTimeout, local, fw.config.PeerConns)
+		tr = newPool(node, fw.config.DialTimeout, local, fw.config.PeerConns)
 		fw.peers[node] = tr
 	}
 	return tr
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -65,6 +65,9 @@
 	return names
 }
 
+// noValue is shared by all requests; nothing writes to it.
+var noValue = []string{""}
+
 // requestHeader returns the headers of a request for the next hop.
 func requestHeader(from http.Header) http.Header {
 	// extra is the number of headers that an attempt adds.
@@ -83,7 +86,7 @@
 		}
 	}
 	if _, ok := to["User-Agent"]; !ok {
-		to["User-Agent"] = []string{""} // keeps the library from adding its own
+		to["User-Agent"] = noValue // keeps the library from adding its own
 	}
 	return to
 }
--- a/internal/forwarder/last.go
+++ b/internal/forwarder/last.go
@@ -98,7 +98,6 @@
 		}
 	}
 	rp.began = fw.config.Now()
-	ho.to = fw.config.Target.Address
 	if rp.roundTrip(ctx, ca, fw.target, ho) {
 		rp.fromTarget(ctx)
 	}
--- a/internal/forwarder/reply.go
+++ b/internal/forwarder/reply.go
@@ -33,7 +33,7 @@
 
 	endpoint router.Endpoint
 	began    time.Time
-	watch    *watch
+	watch    watch
 	cancel   context.CancelFunc
 	// atEOF says that the connection was read to the end of the response.
 	atEOF bool
@@ -44,11 +44,12 @@
 
 // roundTrip sends the request and sorts the failures of the connection. It
 // reports whether a response head arrived.
-func (rp *reply) roundTrip(ctx context.Context, ca *call, tr *http.Transport, ho hop) bool {
-	rp.watch = newWatch()
+func (rp *reply) roundTrip(ctx context.Context, ca *call, po *pool, ho hop) bool {
+	ho.to = po.address
+	rp.watch.trace.GotConn = rp.watch.gotConn
 	ctx = httptrace.WithClientTrace(ctx, &rp.watch.trace)
 	//nolint:bodyclose // abandon closes it
-	resp, err := tr.RoundTrip(ca.outgoing(ctx, ho, rp.began))
+	resp, err := po.RoundTrip(ca.outgoing(ctx, ho, rp.began))
 	if err == nil {
 		rp.resp = resp
 		if resp.Body == http.NoBody {
@@ -63,15 +64,15 @@
 	}
 	switch {
 	case left:
-		rp.err = answerer.Wrap(err, answerer.Draining, "call "+ho.to.String())
+		rp.err = answerer.Wrap(err, answerer.Draining, "call "+ho.to)
 	case ca.body.stream != nil && ca.body.stream.over.Load():
 		rp.err = errTooLarge
 	case ended(ctx):
 		rp.err = contextError(ctx)
 	case rp.outcome == retrier.NotRun:
-		rp.err = answerer.Wrap(err, answerer.NoTarget, "connect to "+ho.to.String())
+		rp.err = answerer.Wrap(err, answerer.NoTarget, "connect to "+ho.to)
 	default:
-		rp.err = answerer.Wrap(err, answerer.OutcomeUnknown, "call "+ho.to.String())
+		rp.err = answerer.Wrap(err, answerer.OutcomeUnknown, "call "+ho.to)
 	}
 	return false
 }
--- a/internal/forwarder/respond.go
+++ b/internal/forwarder/respond.go
@@ -94,9 +94,9 @@
 func (fw *Forwarder) relay(w http.ResponseWriter, ca *call, rp *reply, finish func(ending)) {
 	header := w.Header()
 	copyResponseHeader(header, rp.resp.Header, rp.local)
-	header[headerOutcome] = []string{retrier.Answered.String()}
+	header[headerOutcome] = ca.value(retrier.Answered.String())
 	if rp.local {
-		header[headerVersion] = []string{string(fw.config.Target.Version)}
+		header[headerVersion] = ca.value(string(fw.config.Target.Version))
 		fw.setLoad(header)
 	}
 	w.WriteHeader(rp.resp.StatusCode)
