--- a/internal/forwarder/hedge.go
+++ b/internal/forwarder/hedge.go
@@ -10,8 +10,8 @@
 	"github.com/guavastall/guavastall/internal/router"
 )
 
-// hedgePeriod is how often the retrier is asked about a late attempt. Lookups
-// take some milliseconds.
+// hedgePeriod is the least time between two questions to the retrier about a
+// late attempt. Lookups take some milliseconds.
 const hedgePeriod = 2 * time.Millisecond
 
 // race is an attempt with at most one hedge beside it.
@@ -39,8 +39,8 @@
 	ra := &race{jo: jo, results: make(chan *reply, 2)}
 	ra.start(ctx, en)
 	began := jo.fw.config.Now()
-	ticker := time.NewTicker(hedgePeriod)
-	defer ticker.Stop()
+	timer := time.NewTimer(hedgePeriod)
+	defer timer.Stop()
 	for {
 		select {
 		case rp := <-ra.results:
@@ -53,16 +53,17 @@
 				jo.doubtful = true
 			}
 			jo.finish(rp, rp.endOf())
-		case <-ticker.C:
-			if len(ra.cancels) == 1 {
-				ra.hedge(ctx, began)
+		case <-timer.C:
+			if wait := ra.hedge(ctx, began); wait > 0 {
+				timer.Reset(wait)
 			}
 		}
 	}
 }
 
-// hedge starts the second attempt if the retrier and the router allow it.
-func (ra *race) hedge(ctx context.Context, began time.Time) {
+// hedge starts the second attempt if the retrier and the router allow it. It
+// returns when to ask again; zero is not at all.
+func (ra *race) hedge(ctx context.Context, began time.Time) time.Duration {
 	jo := ra.jo
 	now := jo.fw.config.Now()
 	de := jo.fw.parts.Retrier.Hedge(jo.plan, retrier.Attempt{
@@ -72,11 +73,11 @@
 		Elapsed:  now.Sub(began), HedgeAllowed: true,
 	}, now)
 	if !de.Again {
-		return
+		return max(de.Delay, hedgePeriod)
 	}
 	en, err := jo.pick()
 	if err != nil {
-		return
+		return 0
 	}
 	jo.number++
 	jo.tried = append(jo.tried, en.Node)
@@ -85,6 +86,7 @@
 		Route: jo.plan.Route.Name, Node: en.Node, Number: jo.number,
 	})
 	ra.start(ctx, en)
+	return 0
 }
 
 // end cancels the attempts that lost and waits for them; a cancelled attempt
--- a/internal/targetserver/targetserver.go
+++ b/internal/targetserver/targetserver.go
@@ -94,6 +94,11 @@
 	}})
 }
 
+// ServeHTTP serves one request, for use without a listener.
+func (sv *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	sv.server.Handler.ServeHTTP(w, r)
+}
+
 // Close closes the listener and all connections.
 func (sv *Server) Close() error { return sv.server.Close() }
 
@@ -358,9 +363,15 @@
 
 func (sv *Server) control(w http.ResponseWriter, r *http.Request) {
 	se := sv.Settings()
+	// Decoding into the present faults would keep fields of theirs.
+	faults := se.Faults
+	se.Faults = nil
 	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxControlBytes))
 	dec.DisallowUnknownFields()
 	err := dec.Decode(&se)
+	if se.Faults == nil {
+		se.Faults = faults
+	}
 	if err == nil {
 		err = sv.Set(se)
 	}
