--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -1,11 +1,13 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +25,21 @@
 type conn struct {
 	net.Conn
 	state atomic.Uint64
+	// begins says that the next byte read begins a response.
+	begins atomic.Bool
+	// farewell says that the peer's server has ended the connection: a call
+	// sent on it without a response has not run, and will not.
+	farewell atomic.Bool
+}
+
+// Read notices a farewell. http.Transport does not report one that it reads
+// just before it knows of the call that crosses it.
+func (co *conn) Read(data []byte) (int, error) {
+	nn, err := co.Conn.Read(data)
+	if nn > 0 && co.begins.Swap(false) && bytes.HasPrefix(data[:nn], farewellText) {
+		co.farewell.Store(true)
+	}
+	return nn, err
 }
 
 // Write counts the write before it begins, so that a call sealed in the
@@ -59,12 +76,6 @@
 	wrote bool
 }
 
-func newWatch() *watch {
-	wa := &watch{}
-	wa.trace.GotConn = wa.gotConn
-	return wa
-}
-
 func (wa *watch) gotConn(info httptrace.GotConnInfo) {
 	if wa.conn != nil {
 		// The library moved the request to another connection by itself. It
@@ -75,9 +86,23 @@
 	wa.conn, _ = info.Conn.(*conn)
 	if wa.conn != nil {
 		wa.start = wa.conn.writes()
+		wa.conn.begins.Store(true)
+	}
+}
+
+// read notes that the response was read to its end.
+func (wa *watch) read() {
+	if wa.conn != nil {
+		wa.conn.begins.Store(true)
 	}
 }
 
+// left reports whether the peer's server has ended the connection without
+// running the call.
+func (wa *watch) left() bool {
+	return wa.conn != nil && wa.conn.farewell.Load()
+}
+
 // seal ends the attempt and reports whether a byte of it may have been sent.
 // No byte is sent afterwards, and the connection is not used again.
 func (wa *watch) seal() bool {
@@ -98,12 +123,19 @@
 	keepAlivePeriod        = 15 * time.Second
 )
 
-// newTransport returns the connection pool to one address.
-func newTransport(dialTimeout time.Duration, localAddr net.Addr, conns int) *http.Transport {
+// pool is the connection pool to one address.
+type pool struct {
+	*http.Transport
+	address string
+}
+
+func newPool(
+	to netip.AddrPort, dialTimeout time.Duration, localAddr net.Addr, conns int,
+) *pool {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout, KeepAlive: keepAlivePeriod, LocalAddr: localAddr,
 	}
-	return &http.Transport{
+	tr := &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			nc, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
@@ -117,4 +149,5 @@
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		DisableCompression:     true,
 	}
+	return &pool{tr, to.String()}
 }
--- a/internal/forwarder/reply.go
+++ b/internal/forwarder/reply.go
@@ -33,7 +33,7 @@
 
 	endpoint router.Endpoint
 	began    time.Time
-	watch    *watch
+	watch    watch
 	cancel   context.CancelFunc
 	// atEOF says that the connection was read to the end of the response.
 	atEOF bool
@@ -44,29 +44,35 @@
 
 // roundTrip sends the request and sorts the failures of the connection. It
 // reports whether a response head arrived.
-func (rp *reply) roundTrip(ctx context.Context, ca *call, tr *http.Transport, ho hop) bool {
-	rp.watch = newWatch()
+func (rp *reply) roundTrip(ctx context.Context, ca *call, po *pool, ho hop) bool {
+	ho.to = po.address
+	rp.watch.trace.GotConn = rp.watch.gotConn
 	ctx = httptrace.WithClientTrace(ctx, &rp.watch.trace)
 	//nolint:bodyclose // abandon closes it
-	resp, err := tr.RoundTrip(ca.outgoing(ctx, ho, rp.began))
+	resp, err := po.RoundTrip(ca.outgoing(ctx, ho, rp.began))
 	if err == nil {
 		rp.resp = resp
-		rp.atEOF = resp.Body == http.NoBody
+		if resp.Body == http.NoBody {
+			rp.setEOF()
+		}
 		return true
 	}
+	left := ho.id != "" && rp.watch.left()
 	rp.outcome = retrier.NotRun
-	if rp.watch.seal() {
+	if rp.watch.seal() && !left {
 		rp.outcome = retrier.Unknown
 	}
 	switch {
+	case left:
+		rp.err = answerer.Wrap(err, answerer.Draining, "call "+ho.to)
 	case ca.body.stream != nil && ca.body.stream.over.Load():
 		rp.err = errTooLarge
 	case ended(ctx):
 		rp.err = contextError(ctx)
 	case rp.outcome == retrier.NotRun:
-		rp.err = answerer.Wrap(err, answerer.NoTarget, "connect to "+ho.to.String())
+		rp.err = answerer.Wrap(err, answerer.NoTarget, "connect to "+ho.to)
 	default:
-		rp.err = answerer.Wrap(err, answerer.OutcomeUnknown, "call "+ho.to.String())
+		rp.err = answerer.Wrap(err, answerer.OutcomeUnknown, "call "+ho.to)
 	}
 	return false
 }
@@ -111,7 +117,13 @@
 		rp.abandon()
 		return
 	}
+	rp.setEOF()
+}
+
+// setEOF notes that the response was read to its end.
+func (rp *reply) setEOF() {
 	rp.atEOF = true
+	rp.watch.read()
 }
 
 // maxMessageBytes bounds the error body that is read from another node.
@@ -124,6 +136,8 @@
 		head.Get(headerError) == answerer.Draining.String()
 	if echo := head.Get(headerHop); echo != id && !farewell {
 		asserter.That(echo == "", "ownResponse", "response of call %q to call %q", echo, id)
+		// The connection is out of step, even if the response was read whole.
+		rp.watch.seal()
 		rp.abandon()
 		rp.outcome = retrier.Unknown
 		rp.err = answerer.New(answerer.OutcomeUnknown,
@@ -180,7 +194,7 @@
 	}
 	nn, err := rp.resp.Body.Read(data)
 	if err == io.EOF {
-		rp.atEOF = true
+		rp.setEOF()
 	}
 	return nn, err
 }
--- a/internal/forwarder/respond.go
+++ b/internal/forwarder/respond.go
@@ -48,7 +48,7 @@
 	header[headerContent] = []string{"application/json"}
 	header["Content-Length"] = []string{strconv.Itoa(len(body))}
 	fw.setLoad(header)
-	if ki == answerer.BadRequest || fw.gate.isDraining() {
+	if ki == answerer.BadRequest {
 		header[headerClose] = []string{"close"}
 	}
 	w.WriteHeader(ki.Answer().Status)
@@ -94,14 +94,11 @@
 func (fw *Forwarder) relay(w http.ResponseWriter, ca *call, rp *reply, finish func(ending)) {
 	header := w.Header()
 	copyResponseHeader(header, rp.resp.Header, rp.local)
-	header[headerOutcome] = []string{retrier.Answered.String()}
+	header[headerOutcome] = ca.value(retrier.Answered.String())
 	if rp.local {
-		header[headerVersion] = []string{string(fw.config.Target.Version)}
+		header[headerVersion] = ca.value(string(fw.config.Target.Version))
 		fw.setLoad(header)
 	}
-	if fw.gate.isDraining() {
-		header[headerClose] = []string{"close"}
-	}
 	w.WriteHeader(rp.resp.StatusCode)
 	en := complete
 	switch {
