Add the relay between nodes and the distributor

Cause: each node needs the newest configuration and the facts within seconds, with 2 log readers per data centre and without a node that ever goes back. Before: nothing. After: the relayer is a state machine that pushes small records and facts at once, announces large records so that they are pulled once, and repairs by digests; the distributor does its I/O, follows the log, writes checkpoints, announcements and unlogged facts, and publishes. Seen to fail with the mechanism off: TestRelayMatchesFullExchange without the pull of facts, without checkpoints in replies and with a wait of an hour after a failed call; TestDamagedRecordIsNotFolded without the hash; TestTrimmedPastANode without recovery; TestFactsSpreadDuringOutage without appending facts; TestRestartedNodeIsNeverOlderThanItsPeers without the comparison of offsets; TestAnnouncementsLeadToPeers without reading them. The others have not been tried yet.

--- a/internal/appender/appender.go
+++ b/internal/appender/appender.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -356,3 +357,24 @@
 		return ctx.Err()
 	}
 }
+
+// Last returns up to count of the newest records of a stream, oldest first.
+// It sends two requests.
+func (cl *Client) Last(ctx context.Context, stream string, count int) ([]Record, error) {
+	// Every log ends below this offset and says where.
+	_, err := cl.Read(ctx, stream, math.MaxUint64, 1, 0)
+	var behind *BehindError
+	if !errors.As(err, &behind) {
+		return nil, fmt.Errorf("find the end of stream %q: %w", stream, err)
+	}
+	if behind.Next == 0 {
+		return nil, nil
+	}
+	from := behind.Next - min(behind.Next, uint64(max(1, count)))
+	ba, err := cl.Read(ctx, stream, from, count, 0)
+	var trimmed *TrimmedError
+	if errors.As(err, &trimmed) {
+		ba, err = cl.Read(ctx, stream, trimmed.First, count, 0)
+	}
+	return ba.Records, err
+}
--- /dev/null
+++ b/internal/distributor/cluster_test.go
@@ -0,0 +1,326 @@
+package distributor
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavastall/guavastall/internal/appender"
+	"github.com/guavastall/guavastall/internal/asserter"
+	"github.com/guavastall/guavastall/internal/elector"
+	"github.com/guavastall/guavastall/internal/logserver"
+	"github.com/guavastall/guavastall/internal/reducer"
+	"github.com/guavastall/guavastall/internal/relayer"
+	"github.com/guavastall/guavastall/pkg/checker"
+)
+
+func testDocument(version checker.Version) *checker.Document {
+	return &checker.Document{
+		Profiles: map[string]checker.Profile{"steady": {
+			Rollout: checker.Rollout{
+				Steps: []float64{0.5, 1}, StepTime: checker.Duration(time.Second),
+				MinCalls: 10, MaxLatencyFactor: 2, QuietAfter: checker.Duration(time.Minute),
+			},
+			Limits:  checker.Limits{InitialConcurrency: 2, MaxBodyBytes: 1 << 20},
+			Retries: checker.Retries{BudgetRatio: 0.1, MaxAttempts: 3},
+		}},
+		Services: map[checker.Service]checker.Choice{"tag": {
+			Profile: "steady", Version: version,
+			Routes: []checker.Route{{Name: "all", PathPrefix: "/", Timeout: checker.Duration(time.Second)}},
+		}},
+	}
+}
+
+// network joins the nodes of a test. The membership is what the test says.
+type network struct {
+	mu    sync.Mutex
+	nodes map[checker.NodeID]*testNode
+	dead  map[checker.NodeID]bool
+	// frozen nodes neither answer nor fail.
+	frozen map[checker.NodeID]bool
+	cut    func(aa, bb *testNode) bool
+}
+
+// testNode is one life of a node.
+type testNode struct {
+	*Distributor
+	net    *network
+	member elector.Member
+	links  []checker.NodeID
+	log    *gatedLog
+	stop   context.CancelFunc
+	ended  chan struct{}
+}
+
+// gatedLog is the client of the log, which a test can cut off or count.
+type gatedLog struct {
+	*appender.Client
+	mu  sync.Mutex
+	cut bool
+}
+
+var errCut = fmt.Errorf("%w: cut by the test", appender.ErrUnavailable)
+
+func (gl *gatedLog) setCut(cut bool) {
+	gl.mu.Lock()
+	defer gl.mu.Unlock()
+	gl.cut = cut
+}
+
+func (gl *gatedLog) isCut() bool {
+	gl.mu.Lock()
+	defer gl.mu.Unlock()
+	return gl.cut
+}
+
+func (gl *gatedLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	if gl.isCut() {
+		return 0, appender.ErrRefused
+	}
+	return gl.Client.Append(ctx, stream, data)
+}
+
+func (gl *gatedLog) Read(
+	ctx context.Context, stream string, from uint64, limit int, wait time.Duration,
+) (appender.Batch, error) {
+	if gl.isCut() {
+		return appender.Batch{}, errCut
+	}
+	ba, err := gl.Client.Read(ctx, stream, from, limit, wait)
+	if gl.isCut() {
+		return appender.Batch{}, errCut
+	}
+	return ba, err
+}
+
+func (gl *gatedLog) Last(ctx context.Context, stream string, count int) ([]appender.Record, error) {
+	if gl.isCut() {
+		return nil, errCut
+	}
+	return gl.Client.Last(ctx, stream, count)
+}
+
+func (tn *testNode) Alive() []elector.Member {
+	tn.net.mu.Lock()
+	defer tn.net.mu.Unlock()
+	var list []elector.Member
+	for no, other := range tn.net.nodes {
+		if !tn.net.dead[no] {
+			list = append(list, other.member)
+		}
+	}
+	return list
+}
+
+func (tn *testNode) Neighbours() []checker.NodeID {
+	tn.net.mu.Lock()
+	defer tn.net.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(tn.links), func(no checker.NodeID) bool { return tn.net.dead[no] })
+}
+
+// Call passes arguments and reply through gob, as net/rpc does.
+func (tn *testNode) Call(ctx context.Context, node checker.NodeID, method string, args, reply any) error {
+	tn.net.mu.Lock()
+	to, ok := tn.net.nodes[node]
+	frozen := tn.net.frozen[node] || tn.net.frozen[tn.member.Node]
+	refused := !ok || tn.net.dead[node] || tn.net.dead[tn.member.Node] || tn.net.cut(tn, to)
+	tn.net.mu.Unlock()
+	if frozen {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if refused {
+		return errors.New("connection refused")
+	}
+	switch method {
+	case "Distributor.Push", "Distributor.Digest":
+		var ps relayer.Push
+		var di relayer.Digest
+		recode(args, &ps)
+		if err := to.Receiver().Push(ps, &di); err != nil {
+			return err
+		}
+		recode(di, reply)
+	case "Distributor.Pull":
+		var pl relayer.Pull
+		var re relayer.Reply
+		recode(args, &pl)
+		if err := to.Receiver().Pull(pl, &re); err != nil {
+			return err
+		}
+		recode(re, reply)
+	default:
+		return fmt.Errorf("method %q does not exist", method)
+	}
+	return nil
+}
+
+func recode(from, to any) {
+	var buf bytes.Buffer
+	if err := errors.Join(gob.NewEncoder(&buf).Encode(from), gob.NewDecoder(&buf).Decode(to)); err != nil {
+		panic(err)
+	}
+}
+
+// cluster is a log over a loopback socket and the nodes of a test.
+type cluster struct {
+	t   *testing.T
+	net *network
+	log *logserver.Server
+	url string
+	cf  Config
+}
+
+func newCluster(t *testing.T, cf logserver.Config) *cluster {
+	t.Helper()
+	before := asserter.Violations()
+	cl := &cluster{
+		t: t, log: logserver.New(cf),
+		net: &network{
+			nodes: map[checker.NodeID]*testNode{}, dead: map[checker.NodeID]bool{},
+			frozen: map[checker.NodeID]bool{}, cut: func(_, _ *testNode) bool { return false },
+		},
+		cf: Config{
+			StartWait: time.Second, Poll: 100 * time.Millisecond, CallTimeout: 300 * time.Millisecond,
+			Tick: 10 * time.Millisecond, AnnounceEvery: 100 * time.Millisecond,
+			Reader: elector.Config{
+				Budget: 2000, PeersFirst: 50 * time.Millisecond, Settle: 100 * time.Millisecond,
+				Patience: 600 * time.Millisecond,
+			},
+			Relay: relayer.Config{Period: 50 * time.Millisecond},
+		},
+	}
+	hs := httptest.NewServer(cl.log.Handler())
+	cl.url = hs.URL
+	t.Cleanup(func() {
+		for _, tn := range cl.net.nodes {
+			tn.stop()
+			<-tn.ended
+		}
+		cl.log.Close()
+		hs.Close()
+		require.Equal(t, before, asserter.Violations())
+	})
+	return cl
+}
+
+func nodeID(nn int) checker.NodeID {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, 0, byte(nn)}), 7000)
+}
+
+// start starts nodes 0 to count-1, one after another in turn to the data
+// centres, and links each to the three that follow it.
+func (cl *cluster) start(count, dataCentres int) []*testNode {
+	var nodes []*testNode
+	for ii := range count {
+		nodes = append(nodes, cl.node(ii, count, dataCentres))
+	}
+	for _, tn := range nodes {
+		tn.run()
+	}
+	return nodes
+}
+
+// node makes a node; it replaces one with the same number.
+func (cl *cluster) node(nn, count, dataCentres int) *testNode {
+	cl.t.Helper()
+	client, err := appender.New(cl.url, appender.Config{
+		Timeout: 500 * time.Millisecond, Backoff: appender.Backoff{Base: time.Millisecond},
+	})
+	require.NoError(cl.t, err)
+	tn := &testNode{
+		net: cl.net, log: &gatedLog{Client: client}, ended: make(chan struct{}),
+		member: elector.Member{
+			Node: nodeID(nn), DataCentre: checker.DataCentre(fmt.Sprint("dc", nn%dataCentres)),
+		},
+	}
+	for ii := 1; ii <= 3 && ii < count; ii++ {
+		tn.links = append(tn.links, nodeID((nn+ii)%count))
+	}
+	cf := cl.cf
+	cf.Self, cf.Caller, cf.Log, cf.Members = tn.member, tn, tn.log, tn
+	tn.Distributor, err = New(cf)
+	require.NoError(cl.t, err)
+	cl.net.mu.Lock()
+	defer cl.net.mu.Unlock()
+	cl.net.nodes[tn.member.Node] = tn
+	return tn
+}
+
+func (tn *testNode) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	tn.stop = cancel
+	go func() {
+		defer close(tn.ended)
+		_ = tn.Run(ctx)
+	}()
+}
+
+// kill ends the node, and the membership learns of it.
+func (tn *testNode) kill() {
+	tn.stop()
+	<-tn.ended
+	tn.net.mu.Lock()
+	defer tn.net.mu.Unlock()
+	tn.net.dead[tn.member.Node] = true
+}
+
+// restart replaces the node by one with an empty memory.
+func (cl *cluster) restart(old *testNode, count, dataCentres int) *testNode {
+	tn := cl.node(int(old.member.Node.Addr().As4()[3]), count, dataCentres)
+	cl.net.mu.Lock()
+	delete(cl.net.dead, tn.member.Node)
+	cl.net.mu.Unlock()
+	return tn
+}
+
+// eventually waits for a condition; the time only bounds a failing test.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	require.Eventually(t, condition, 15*time.Second, 2*time.Millisecond, what)
+}
+
+func (cl *cluster) setCut(cut func(aa, bb *testNode) bool) {
+	cl.net.mu.Lock()
+	defer cl.net.mu.Unlock()
+	cl.net.cut = cut
+}
+
+// publish publishes a document on the node's current revision.
+func publish(t *testing.T, tn *testNode, version checker.Version) reducer.Result {
+	t.Helper()
+	re, err := tn.Publish(t.Context(), reducer.Record{
+		Base: tn.State().Revision(), Document: testDocument(version),
+	})
+	require.NoError(t, err)
+	return re
+}
+
+// reach waits until every node holds the revision.
+func reach(t *testing.T, revision checker.Revision, nodes ...*testNode) {
+	t.Helper()
+	for _, tn := range nodes {
+		eventually(t, fmt.Sprintf("%v reaches revision %d", tn.member.Node, revision), func() bool {
+			return tn.State().Revision() >= revision
+		})
+		require.Equal(t, revision, tn.State().Revision())
+	}
+}
+
+// allFresh waits until no node is stale.
+func allFresh(t *testing.T, nodes []*testNode) {
+	t.Helper()
+	eventually(t, "every node is fresh", func() bool {
+		return !slices.ContainsFunc(nodes, func(tn *testNode) bool { return tn.Stale() })
+	})
+}
--- /dev/null
+++ b/internal/distributor/distributor_test.go
@@ -0,0 +1,365 @@
+package distributor
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavastall/guavastall/internal/answerer"
+	"github.com/guavastall/guavastall/internal/logserver"
+	"github.com/guavastall/guavastall/internal/reducer"
+	"github.com/guavastall/guavastall/pkg/checker"
+)
+
+func mark(st *reducer.State, dc checker.DataCentre, out bool) reducer.Fact {
+	mk := st.NextMark(dc, out)
+	return reducer.Fact{Mark: &mk}
+}
+
+// Guards against a publication that is lost, folded twice or reported as
+// failed when the answers of the log are lost, and against two racing
+// operators both being accepted.
+func TestRacingPublishersWithLostAnswers(t *testing.T) {
+	cl := newCluster(t, logserver.Config{})
+	nodes := cl.start(6, 2)
+	allFresh(t, nodes)
+	cl.log.SetFaults(logserver.Faults{LoseEvery: 2})
+	revision := checker.Revision(0)
+	for round := range 3 {
+		var wg sync.WaitGroup
+		results := make([]reducer.Result, len(nodes))
+		errs := make([]error, len(nodes))
+		for ii, tn := range nodes {
+			wg.Go(func() {
+				results[ii], errs[ii] = tn.Publish(t.Context(), reducer.Record{
+					ID: fmt.Sprintf("%d/%d", round, ii), Base: revision,
+					Document: testDocument(checker.Version(fmt.Sprintf("v%d", round))),
+				})
+			})
+		}
+		wg.Wait()
+		accepted := 0
+		for ii, re := range results {
+			require.NoError(t, errs[ii])
+			if re.Accepted {
+				accepted++
+				revision = re.Revision
+			} else {
+				require.True(t, re.Stale, re.Problem)
+			}
+		}
+		require.Equal(t, 1, accepted)
+		reach(t, revision, nodes...)
+	}
+	require.Positive(t, cl.log.Stats().Lost)
+	// A resend by the operator after an answer that the node itself lost.
+	re, err := nodes[0].Publish(t.Context(), reducer.Record{ID: "2/0", Base: 0, Document: testDocument("v9")})
+	require.NoError(t, err)
+	require.Equal(t, revision, nodes[1].State().Revision())
+	require.Less(t, re.Offset, uint64(revision)+6)
+}
+
+// Guards against facts that wait for the platform, a publication during an
+// outage that hangs or lies, and facts that never reach the log afterwards.
+func TestFactsSpreadDuringOutage(t *testing.T) {
+	for _, outage := range []string{logserver.Refuse, logserver.Hang} {
+		t.Run(outage, func(t *testing.T) {
+			cl := newCluster(t, logserver.Config{})
+			nodes := cl.start(8, 2)
+			allFresh(t, nodes)
+			first := publish(t, nodes[0], "v1")
+			reach(t, first.Revision, nodes...)
+			cl.log.SetFaults(logserver.Faults{Outage: outage})
+			require.True(t, nodes[3].Join(mark(nodes[3].State(), "dc1", true)))
+			for _, tn := range nodes {
+				eventually(t, "the mark spreads", func() bool { return tn.State().Out("dc1") })
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			_, err := nodes[1].Publish(ctx, reducer.Record{ID: "during", Base: first.Revision, Document: testDocument("v2")})
+			require.Error(t, err)
+			if outage == logserver.Refuse {
+				require.Equal(t, answerer.PlatformUnavailable, answerer.KindOf(err))
+			} else {
+				require.Equal(t, answerer.OutcomeUnknown, answerer.KindOf(err))
+			}
+			cl.log.SetFaults(logserver.Faults{})
+			for _, tn := range nodes {
+				eventually(t, "the log holds the mark", func() bool { return len(tn.State().Unlogged()) == 0 })
+			}
+		})
+	}
+}
+
+// Guards against a node that reads on across records it has never seen, and
+// against one that cannot catch up with a trimmed log.
+func TestTrimmedPastANode(t *testing.T) {
+	cl := newCluster(t, logserver.Config{})
+	cl.cf.CheckpointRecords = 2
+	nodes := cl.start(4, 2)
+	allFresh(t, nodes)
+	last := publish(t, nodes[0], "v1")
+	reach(t, last.Revision, nodes...)
+	cut := nodes[3]
+	cl.setCut(func(aa, bb *testNode) bool { return aa == cut || bb == cut })
+	cut.log.setCut(true)
+	for ii := range 8 {
+		last = publish(t, nodes[0], checker.Version(fmt.Sprint("w", ii)))
+	}
+	reach(t, last.Revision, nodes[:3]...)
+	eventually(t, "a checkpoint covers some of the records", func() bool {
+		list, err := nodes[0].log.Last(t.Context(), CheckpointStream, 1)
+		if err != nil || len(list) == 0 {
+			return false
+		}
+		st, err := reducer.LoadCheckpoint(list[0].Data)
+		return err == nil && st.Next() > cut.State().Next() && cl.log.Trim(ConfigurationStream, st.Next()) == nil
+	})
+	// The log is the only way back.
+	cut.log.setCut(false)
+	reach(t, last.Revision, cut)
+}
+
+// Guards against a configuration that is lost when the log is away for longer
+// than its retention: the memory of the nodes must become the new checkpoint.
+func TestOutageLongerThanRetention(t *testing.T) {
+	cl := newCluster(t, logserver.Config{})
+	cl.cf.Retention = 2 * time.Second
+	nodes := cl.start(4, 2)
+	allFresh(t, nodes)
+	last := publish(t, nodes[0], "v1")
+	reach(t, last.Revision, nodes...)
+	cl.log.SetFaults(logserver.Faults{Outage: logserver.Refuse})
+	for _, stream := range []string{ConfigurationStream, CheckpointStream, AnnouncementStream} {
+		require.NoError(t, cl.log.Trim(stream, 1<<40))
+	}
+	cl.log.SetFaults(logserver.Faults{})
+	eventually(t, "a checkpoint is written from memory", func() bool {
+		list, err := nodes[0].log.Last(t.Context(), CheckpointStream, 1)
+		return err == nil && len(list) > 0
+	})
+	cl.setCut(func(_, _ *testNode) bool { return true })
+	nodes[2].kill()
+	lone := cl.restart(nodes[2], 4, 2)
+	lone.run()
+	reach(t, last.Revision, lone)
+}
+
+// Guards against a data centre that gets no configuration when it is
+// partitioned from the log but not from the other data centres.
+func TestDataCentreWithoutLog(t *testing.T) {
+	cl := newCluster(t, logserver.Config{})
+	nodes := cl.start(9, 3)
+	for _, tn := range nodes {
+		if tn.member.DataCentre == "dc2" {
+			tn.log.setCut(true)
+		}
+	}
+	allFresh(t, nodes)
+	last := publish(t, nodes[0], "v1")
+	reach(t, last.Revision, nodes...)
+}
+
+// Guards against a data centre whose readers are killed, or frozen while the
+// membership still believes them to be alive.
+func TestReadersLost(t *testing.T) {
+	for _, freeze := range []bool{false, true} {
+		t.Run(fmt.Sprint("frozen ", freeze), func(t *testing.T) {
+			cl := newCluster(t, logserver.Config{})
+			nodes := cl.start(8, 1)
+			allFresh(t, nodes)
+			var rest []*testNode
+			eventually(t, "two readers", func() bool { return len(readers(nodes)) >= 2 })
+			lost := readers(nodes)[:2]
+			for _, tn := range nodes {
+				if tn != lost[0] && tn != lost[1] {
+					rest = append(rest, tn)
+				}
+			}
+			for _, tn := range lost {
+				if freeze {
+					cl.net.mu.Lock()
+					cl.net.frozen[tn.member.Node] = true
+					cl.net.mu.Unlock()
+					tn.log.setCut(true)
+				} else {
+					tn.kill()
+				}
+			}
+			// The record is appended by nobody who could also relay it.
+			data, err := reducer.Encode(reducer.Record{ID: "a", Document: testDocument("v1")})
+			require.NoError(t, err)
+			_, err = cl.log.Append(ConfigurationStream, data)
+			require.NoError(t, err)
+			reach(t, 1, rest...)
+		})
+	}
+}
+
+func readers(nodes []*testNode) []*testNode {
+	var list []*testNode
+	for _, tn := range nodes {
+		if tn.Reading() {
+			list = append(list, tn)
+		}
+	}
+	return list
+}
+
+// Guards against a restarted node that serves an older configuration than a
+// peer it can reach, when the log hangs or holds only old records.
+func TestRestartedNodeIsNeverOlderThanItsPeers(t *testing.T) {
+	cl := newCluster(t, logserver.Config{})
+	nodes := cl.start(6, 2)
+	allFresh(t, nodes)
+	publish(t, nodes[0], "v1")
+	last := publish(t, nodes[0], "v2")
+	reach(t, last.Revision, nodes...)
+	cl.log.SetFaults(logserver.Faults{Outage: logserver.Hang})
+	for _, old := range nodes[:4] {
+		old.kill()
+		tn := cl.restart(old, 6, 2)
+		require.True(t, tn.Stale())
+		tn.run()
+		<-tn.Ready()
+		require.False(t, tn.Stale())
+		require.Equal(t, last.Revision, tn.State().Revision())
+	}
+}
+
+// Guards against a node that never gets ready, or claims to be fresh, when
+// neither peers nor the log answer.
+func TestStaleNodeWaitsBounded(t *testing.T) {
+	cl := newCluster(t, logserver.Config{})
+	cl.cf.StartWait = 50 * time.Millisecond
+	cl.log.SetFaults(logserver.Faults{Outage: logserver.Refuse})
+	tn := cl.node(0, 1, 1)
+	tn.run()
+	<-tn.Ready()
+	require.True(t, tn.Stale())
+	cl.log.SetFaults(logserver.Faults{})
+	allFresh(t, []*testNode{tn})
+}
+
+// Guards against updates and facts that cross on the way and leave the nodes
+// with different states.
+func TestCrossingUpdates(t *testing.T) {
+	cl := newCluster(t, logserver.Config{})
+	nodes := cl.start(9, 3)
+	allFresh(t, nodes)
+	last := publish(t, nodes[0], "v0")
+	reach(t, last.Revision, nodes...)
+	var wg sync.WaitGroup
+	for ii, tn := range nodes {
+		wg.Go(func() {
+			for nn := range 5 {
+				tn.Join(mark(tn.State(), checker.DataCentre(fmt.Sprint("dc", nn%3)), ii%2 == 0))
+				_, err := tn.Publish(t.Context(), reducer.Record{
+					Base: tn.State().Revision(),
+					Choose: &reducer.Choose{
+						Service: "tag", Version: checker.Version(fmt.Sprintf("v%d-%d", ii, nn)),
+					},
+				})
+				if err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	eventually(t, "all states are equal", func() bool {
+		want := nodes[0].State()
+		for _, tn := range nodes {
+			st := tn.State()
+			if st.Next() != want.Next() || st.FactsDigest() != want.FactsDigest() || len(st.Unlogged()) > 0 {
+				return false
+			}
+		}
+		return true
+	})
+	want, err := nodes[0].State().Checkpoint()
+	require.NoError(t, err)
+	for _, tn := range nodes {
+		got, err := tn.State().Checkpoint()
+		require.NoError(t, err)
+		require.Equal(t, string(want), string(got))
+	}
+}
+
+// Guards against a mass restart that sends more requests to the log than it
+// takes, and against nodes that then find no configuration.
+func TestHerdRestarts(t *testing.T) {
+	const count, dataCentres = 50, 5
+	cl := newCluster(t, logserver.Config{})
+	cl.cf.Reader.Budget = 20
+	cl.cf.Reader.Expected = 10
+	nodes := cl.start(count, dataCentres)
+	allFresh(t, nodes)
+	last := publish(t, nodes[0], "v1")
+	reach(t, last.Revision, nodes...)
+	for _, tn := range nodes[:count*8/10] {
+		tn.kill()
+	}
+	cl.log.ResetStats()
+	for ii := range count * 8 / 10 {
+		nodes[ii] = cl.restart(nodes[ii], count, dataCentres)
+	}
+	for _, tn := range nodes[:count*8/10] {
+		tn.run()
+	}
+	for _, tn := range nodes {
+		<-tn.Ready()
+		require.Equal(t, last.Revision, tn.State().Revision())
+	}
+	stats := cl.log.Stats()
+	t.Logf("peak of %d log requests in a second, %d in all", stats.Peak, stats.Reads+stats.Appends)
+	require.LessOrEqual(t, stats.Peak, 2*20*dataCentres)
+}
+
+// Guards against a node without seeds that finds no peers, and against
+// announcements that nobody writes.
+func TestAnnouncementsLeadToPeers(t *testing.T) {
+	cl := newCluster(t, logserver.Config{})
+	nodes := cl.start(3, 1)
+	allFresh(t, nodes)
+	last := publish(t, nodes[0], "v1")
+	reach(t, last.Revision, nodes...)
+	eventually(t, "an announcement is written", func() bool {
+		list, err := nodes[0].log.Last(t.Context(), AnnouncementStream, 1)
+		return err == nil && len(list) > 0
+	})
+	var mu sync.Mutex
+	var found []checker.NodeID
+	cl.cf.Found = func(list []checker.NodeID) {
+		mu.Lock()
+		defer mu.Unlock()
+		found = append(found, list...)
+	}
+	lone := cl.node(9, 1, 1)
+	lone.run()
+	reach(t, last.Revision, lone)
+	eventually(t, "the membership is told", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(found) > 0
+	})
+}
+
+// Guards against a panic or a useless address from a damaged announcement.
+func FuzzDecodeAnnouncement(f *testing.F) {
+	f.Add([]byte(`{"nodes":["127.0.0.1:7000","[::1]:7000"]}`))
+	f.Add([]byte(`{"nodes":["0.0.0.0:0"]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		nodes, err := decodeAnnouncement(data)
+		require.LessOrEqual(t, len(nodes), announcedNodes)
+		for _, no := range nodes {
+			require.NoError(t, err)
+			require.True(t, no.IsValid())
+			require.NotZero(t, no.Port())
+		}
+	})
+}
--- /dev/null
+++ b/internal/distributor/read.go
@@ -0,0 +1,161 @@
+package distributor
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/guavastall/guavastall/internal/appender"
+	"github.com/guavastall/guavastall/internal/elector"
+	"github.com/guavastall/guavastall/internal/reducer"
+	"github.com/guavastall/guavastall/internal/relayer"
+)
+
+const (
+	// readRecords is the number of records asked for in one read.
+	readRecords = 256
+	// checkpointsTried is the number of checkpoints read, so that one that is
+	// damaged or of a newer format does not hide an older one.
+	checkpointsTried = 3
+)
+
+// read follows the log while this node is a reader.
+func (ds *Distributor) read(ctx context.Context) {
+	var backoff appender.Backoff
+	failures, turn := 0, 0
+	for ctx.Err() == nil {
+		de := ds.elect.Decide(ds.view(), ds.config.Now())
+		if !de.Read || de.Wait > 0 {
+			if !de.Read {
+				ds.reading.Store(false)
+			}
+			wait := ds.config.Tick
+			if de.Read {
+				wait = min(wait, de.Wait)
+			}
+			sleep(ctx, wait)
+			continue
+		}
+		ds.elect.Sent(ds.config.Now())
+		err := ds.readTurn(ctx, turn)
+		turn++
+		ds.reading.Store(err == nil)
+		if err == nil {
+			failures = 0
+			continue
+		}
+		if ctx.Err() == nil {
+			ds.config.Logger.WithError(err).Warn("log could not be read")
+		}
+		_ = backoff.Wait(ctx, failures)
+		failures++
+	}
+}
+
+// view returns what the elector needs to know.
+func (ds *Distributor) view() elector.View {
+	now := ds.config.Now()
+	alive := ds.config.Members.Alive()
+	ds.mu.Lock()
+	defer ds.mu.Unlock()
+	age, known := ds.relayer.LogAge(now)
+	if !known {
+		age = now.Sub(ds.started)
+	}
+	co := ds.relayer.Contact()
+	return elector.View{
+		Alive: alive, LogAge: age,
+		PeersFailed: co.Failed > 0 && co.Answered+co.Waiting == 0,
+	}
+}
+
+// readTurn uses one turn at the log. A node without any peer alternates
+// between finding peers and reading the configuration.
+func (ds *Distributor) readTurn(ctx context.Context, turn int) error {
+	co := ds.contact()
+	if ds.Stale() && co.Answered == 0 && turn%2 == 0 {
+		return ds.findPeers(ctx)
+	}
+	next := ds.next()
+	if next == 0 && ds.Stale() {
+		// A checkpoint saves reading every record.
+		if err := ds.loadCheckpoint(ctx); err != nil {
+			return err
+		}
+		next = ds.next()
+	}
+	err := ds.readRecords(ctx, next)
+	var trimmed *appender.TrimmedError
+	if errors.As(err, &trimmed) {
+		return ds.recover(ctx, *trimmed)
+	}
+	return err
+}
+
+// next returns the offset of the next record that this node lacks.
+func (ds *Distributor) next() uint64 {
+	ds.mu.Lock()
+	defer ds.mu.Unlock()
+	return ds.relayer.Next()
+}
+
+// readRecords reads from the offset on and takes what comes.
+func (ds *Distributor) readRecords(ctx context.Context, from uint64) error {
+	wait := ds.config.Poll
+	if ds.Stale() {
+		wait = 0
+	}
+	ds.count(func(st *Stats) { st.LogRequests++ })
+	ba, err := ds.config.Log.Read(ctx, ConfigurationStream, from, readRecords, wait)
+	if err != nil {
+		return err
+	}
+	ds.take(ba)
+	return nil
+}
+
+// take hands a batch of the log to the relayer.
+func (ds *Distributor) take(ba appender.Batch) {
+	records := make([]relayer.Record, 0, len(ba.Records))
+	for _, rec := range ba.Records {
+		records = append(records, relayer.NewRecord(rec.Offset, rec.Data))
+	}
+	ds.update(func(rl *relayer.Relayer, now time.Time) {
+		rl.Logged(records, now)
+		if ds.stale && rl.Next() >= ba.Next {
+			ds.fresh()
+		}
+	})
+}
+
+// loadCheckpoint adopts the newest checkpoint that this build can read.
+func (ds *Distributor) loadCheckpoint(ctx context.Context) error {
+	ds.count(func(st *Stats) { st.LogRequests += 2 })
+	list, err := ds.config.Log.Last(ctx, CheckpointStream, checkpointsTried)
+	if err != nil {
+		return err
+	}
+	for _, rec := range list {
+		st, err := reducer.LoadCheckpoint(rec.Data)
+		if err != nil {
+			ds.config.Logger.WithError(err).WithField("offset", rec.Offset).
+				Warn("checkpoint cannot be read")
+			continue
+		}
+		ds.update(func(rl *relayer.Relayer, _ time.Time) { rl.Adopt(st) })
+	}
+	return nil
+}
+
+// recover handles records that the log dropped before this node read them.
+func (ds *Distributor) recover(ctx context.Context, trimmed appender.TrimmedError) error {
+	ds.config.Logger.WithField("offset", trimmed.From).WithField("first", trimmed.First).
+		Warn("log no longer holds the next record")
+	if err := ds.loadCheckpoint(ctx); err != nil {
+		return err
+	}
+	if ds.next() < trimmed.First {
+		return &trimmed
+	}
+	return nil
+}
--- a/internal/logserver/logserver.go
+++ b/internal/logserver/logserver.go
@@ -247,6 +247,13 @@
 	return sv.stats
 }
 
+// ResetStats sets the counts to zero.
+func (sv *Server) ResetStats() {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.stats, sv.current = Stats{}, 0
+}
+
 // Close ends every waiting request. The server must not be used afterwards.
 func (sv *Server) Close() {
 	sv.faults.close()
