--- a/internal/evaluator/evaluator.go
+++ b/internal/evaluator/evaluator.go
@@ -122,8 +122,6 @@
 	Move       checker.MoveID
 	DataCentre checker.DataCentre
 	Rollout    checker.Rollout
-	// Deadline is a wall time; zero means none.
-	Deadline time.Time
 }
 
 // Standing is what is known about the move apart from its calls.
@@ -134,6 +132,13 @@
 	Open bool
 	// Ready says that the new version has a live target in the data centre.
 	Ready bool
+	// First says that no data centre has passed its first step yet.
+	First bool
+	// Out says that the data centre takes no part, as operators have taken it
+	// out or it has no endpoint of the service. It then holds.
+	Out bool
+	// Deadline is the wall time by which the move must be done; zero means none.
+	Deadline time.Time
 	// Ended says that the move is done, taken back or superseded.
 	Ended bool
 }
--- a/internal/evaluator/latency.go
+++ b/internal/evaluator/latency.go
@@ -10,7 +10,7 @@
 const (
 	subBits     = 3
 	subBuckets  = 1 << subBits
-	bucketCount = 224 // covers 37 minutes; longer latencies share the last bucket
+	bucketCount = 224 // covers 17 minutes; longer latencies share the last bucket
 )
 
 // BucketOf returns the latency bucket of a duration.
@@ -23,3 +23,23 @@
 	index := (shift+1)*subBuckets + int(us>>shift)&(subBuckets-1)
 	return uint8(min(index, bucketCount-1))
 }
+
+// bucketLow returns the least latency of a bucket.
+func bucketLow(bucket int) time.Duration {
+	if bucket < subBuckets {
+		return time.Duration(bucket) * time.Microsecond
+	}
+	shift := bucket/subBuckets - 1
+	us := uint64(subBuckets+bucket%subBuckets) << shift
+	return time.Duration(us) * time.Microsecond
+}
+
+// bucketAtLeast returns the first bucket whose least latency is at least the
+// given one.
+func bucketAtLeast(latency time.Duration) int {
+	bucket := int(BucketOf(latency))
+	if bucketLow(bucket) < latency {
+		bucket++
+	}
+	return bucket
+}
--- a/internal/evaluator/splitter.go
+++ b/internal/evaluator/splitter.go
@@ -22,10 +22,14 @@
 	ProbeShare = 0.002
 	// ProbeInterval is the least time between two probes of all nodes together.
 	ProbeInterval = 5 * time.Second
+	// ProbeDelay is how long a node sees the share at zero before it probes. By
+	// then the first data centre has had calls, so that of a version that fails
+	// every call the others see none.
+	ProbeDelay = time.Minute
 	// ReferenceShare is the share of calls the old version keeps at the last
 	// step until the move is done. Without it nothing tells a fault of the new
 	// version from trouble of the data centre.
-	ReferenceShare = 0.05
+	ReferenceShare = 0.1
 )
 
 // Splitter assigns calls to the old or the new version of a move. It is safe
@@ -88,7 +92,7 @@
 		return as.(*assignment)
 	}
 	fresh := &assignment{start: now}
-	fresh.nextProbe.Store(int64(pl.rank) * int64(ProbeInterval))
+	fresh.nextProbe.Store(int64(ProbeDelay) + int64(pl.rank)*int64(ProbeInterval))
 	as, _ := sp.moves.LoadOrStore(mo, fresh)
 	return as.(*assignment)
 }
