--- /dev/null
+++ b/cmd/guavastall-standin/main.go
@@ -0,0 +1,132 @@
+// Command guavastall-standin runs a stand-in of the platform's log or of a
+// target, for trying guavastall by hand and for its tests. It keeps everything
+// in memory and is not meant for production.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/guavastall/guavastall/internal/logserver"
+	"github.com/guavastall/guavastall/internal/targetserver"
+	"github.com/guavastall/guavastall/pkg/checker"
+)
+
+// headerTime bounds the header of a request.
+const headerTime = 5 * time.Second
+
+type arguments struct {
+	Log    *logCmd    `arg:"subcommand:log" help:"run the stand-in of the platform's log"`
+	Target *targetCmd `arg:"subcommand:target" help:"run the stand-in of a target"`
+}
+
+type command interface {
+	run(ctx context.Context, stdout io.Writer) error
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	var ar arguments
+	parser, err := arg.NewParser(arg.Config{Program: "guavastall-standin", Out: stderr}, &ar)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return 1
+	}
+	if err := parser.Parse(args); err != nil && !errors.Is(err, arg.ErrHelp) {
+		_, _ = fmt.Fprintln(stderr, "guavastall-standin:", err)
+		return 2
+	}
+	cmd, ok := parser.Subcommand().(command)
+	if !ok {
+		parser.WriteHelp(stderr)
+		return 2
+	}
+	if err := cmd.run(ctx, stdout); err != nil {
+		_, _ = fmt.Fprintln(stderr, "guavastall-standin:", err)
+		return 1
+	}
+	return 0
+}
+
+type logCmd struct {
+	Listen     netip.AddrPort `arg:"--listen" default:"127.0.0.1:7100" help:"address"`
+	AppendRate float64        `arg:"--append-rate" default:"300" help:"appends accepted per second"`
+	MaxRecords int            `arg:"--max-records" default:"100000" help:"records kept per stream"`
+	MaxAge     time.Duration  `arg:"--max-age" default:"1h" help:"time a record is kept"`
+}
+
+func (lc *logCmd) run(ctx context.Context, stdout io.Writer) error {
+	log := logserver.New(logserver.Config{
+		AppendRate: lc.AppendRate, MaxRecords: lc.MaxRecords, MaxAge: lc.MaxAge,
+	})
+	ln, err := net.Listen("tcp", lc.Listen.String())
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintln(stdout, "log listens on", ln.Addr())
+	srv := &http.Server{Handler: log.Handler(), ReadHeaderTimeout: headerTime}
+	return serve(ctx, func() error { return srv.Serve(ln) }, func() {
+		log.Close()
+		_ = srv.Close()
+	})
+}
+
+type targetCmd struct {
+	Listen        netip.AddrPort  `arg:"--listen" default:"127.0.0.1:7200" help:"address"`
+	Version       checker.Version `arg:"--target-version" default:"v1" help:"version that responses name"`
+	Slots         int             `arg:"--slots" default:"20" help:"calls that run at once"`
+	Connections   int             `arg:"--connections" default:"130" help:"connections accepted"`
+	Queue         int             `arg:"--queue" default:"20" help:"calls that wait for a slot"`
+	WorkTime      time.Duration   `arg:"--work-time" default:"2ms" help:"time of a call on a warm target"`
+	ResponseBytes int             `arg:"--response-bytes" default:"1024" help:"size of a response body"`
+	ColdTime      time.Duration   `arg:"--cold-time" default:"0s" help:"length of the cold start"`
+	ColdSlots     int             `arg:"--cold-slots" default:"2" help:"calls that run at once during the cold start"`
+}
+
+func (tc *targetCmd) run(ctx context.Context, stdout io.Writer) error {
+	target, err := targetserver.New(targetserver.Settings{
+		Version: tc.Version, Slots: tc.Slots, Connections: tc.Connections,
+		Queue: tc.Queue, WorkTime: checker.Duration(tc.WorkTime),
+		ResponseBytes: tc.ResponseBytes, ColdTime: checker.Duration(tc.ColdTime),
+		ColdSlots: tc.ColdSlots,
+	}, time.Now)
+	if err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", tc.Listen.String())
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintln(stdout, "target listens on", ln.Addr())
+	return serve(ctx, func() error { return target.Serve(ln) }, func() { _ = target.Close() })
+}
+
+// serve runs a server until the context ends and then closes it.
+func serve(ctx context.Context, run func() error, stop func()) error {
+	failed := make(chan error, 1)
+	go func() { failed <- run() }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		stop()
+		_ = <-failed
+		return nil
+	}
+}
--- a/cmd/guavastall/main.go
+++ b/cmd/guavastall/main.go
@@ -32,6 +32,7 @@
 
 // arguments are the command line; exactly one command is set.
 type arguments struct {
+	Node       *nodeCmd       `arg:"subcommand:node" help:"run a node beside a target"`
 	Check      *checkCmd      `arg:"subcommand:check" help:"check a document without publishing it"`
 	Publish    *publishCmd    `arg:"subcommand:publish" help:"publish a document"`
 	Choose     *chooseCmd     `arg:"subcommand:choose" help:"choose a profile or version for a service"`
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -278,6 +278,13 @@
 	return gs.detector.Counts()
 }
 
+// Neighbours returns the members that the node probes and keeps links to.
+func (gs *Gossiper) Neighbours() []checker.NodeID {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	return gs.detector.Neighbours()
+}
+
 // SetSeeds replaces the addresses to try when few members are known.
 func (gs *Gossiper) SetSeeds(seeds []checker.NodeID) {
 	gs.mu.Lock()
