Make a returning data centre present or absent for a whole pick

One random number per pick now decides it; the estimate of a large group is scaled from the endpoints viewed to all.

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -34,7 +34,8 @@
 	Failed
 	// Shed is a load-shedding response of the target.
 	Shed
-	// Cancelled is a call whose caller left; its latency says nothing.
+	// Cancelled is a call whose caller left before the deadline; its latency
+	// says nothing. A call that ran out of time is Failed.
 	Cancelled
 )
 
--- a/internal/router/pick.go
+++ b/internal/router/pick.go
@@ -39,6 +39,7 @@
 		binding: pl.table.bind(loads), plan: &pl, tried: tried, now: now,
 		at: loads.since(now), random: loads.draw(),
 	}
+	pi.coin = pi.random
 	for _, po := range [...]*pool{pl.pool, pl.fallback} {
 		if !po.usable(pl.Owned) {
 			continue
@@ -100,7 +101,10 @@
 	now    time.Time
 	at     time.Duration
 	random uint64
-	views  [maxViewed]view
+	// coin stays the same within a pick, so that a returning data centre is
+	// either present in all its steps or in none.
+	coin  uint64
+	views [maxViewed]view
 }
 
 // view is an endpoint as seen in one pick.
@@ -155,7 +159,7 @@
 // traffic whatever the nodes know of its load.
 func (pi *picker) open(gr *group) bool {
 	share := gr.ramp.at(pi.now)
-	return share >= 1 || unit(mix(pi.random^gr.hash)) < share
+	return share >= 1 || unit(mix(pi.coin^gr.hash)) < share
 }
 
 // group returns a group of the ring that is used below the share of its
@@ -220,7 +224,8 @@
 		used += vi.used
 		count++
 	}
-	return count, capacity, used
+	scale := float64(len(list)) / float64(min(len(list), maxViewed))
+	return count, capacity * scale, used * scale
 }
 
 // view estimates the load of an endpoint.
@@ -246,9 +251,12 @@
 }
 
 // choose picks two endpoints of the group in proportion to their capacity and
-// returns the less loaded one.
+// returns the less loaded one, or nil if it viewed tried ones only.
 func (pi *picker) choose(gr *group) *entry {
 	count, _, _ := pi.scan(gr)
+	if count == 0 {
+		return nil
+	}
 	views := pi.views[:count]
 	var total float64
 	for nn := range views {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -63,7 +65,9 @@
 	if cf.Document == nil {
 		cf.Document = testDocument()
 	}
-	cf.Self, cf.DataCentre, cf.Region = node(900), "a", "x"
+	if cf.DataCentre == "" {
+		cf.Self, cf.DataCentre, cf.Region = node(900), "a", "x"
+	}
 	ta, err := NewTable(cf)
 	require.NoError(tb, err)
 	return ta
@@ -222,6 +226,36 @@
 	require.InDelta(t, 300, moved, 60)
 }
 
+// Guards against a race between calls, reports and the first pick of new tables.
+func TestConcurrentUse(t *testing.T) {
+	before := asserter.Violations()
+	loads := NewLoads(1)
+	var current atomic.Pointer[Table]
+	var wg sync.WaitGroup
+	for nn := range 8 {
+		current.Store(mustTable(t, Config{Endpoints: endpoints("v1", "v1", "v1", "v1")}))
+		wg.Go(func() {
+			for range 500 {
+				if nn == 0 {
+					current.Store(mustTable(t, Config{Endpoints: endpoints("v1", "v1", "v1")}))
+				}
+				pl, err := current.Load().Plan(Call{Service: "tag", Path: "/"}, epoch)
+				require.NoError(t, err)
+				en, err := current.Load().Pick(pl, nil, loads, epoch)
+				require.NoError(t, err)
+				loads.Begin(en.Node, epoch)
+				loads.Observe(en.Node, Report{InFlight: 2, Limit: 3}, epoch)
+				loads.End(en.Node, Report{Latency: time.Millisecond, Rejected: nn%2 == 0}, epoch)
+			}
+		})
+	}
+	wg.Wait()
+	for _, ld := range loads.nodes {
+		require.Zero(t, ld.outstanding.Load())
+	}
+	require.Equal(t, before, asserter.Violations())
+}
+
 // naive says what a call may be routed to, straight from the configuration.
 type naive struct {
 	Config
@@ -277,6 +311,9 @@
 		before := asserter.Violations()
 		na := genNaive(rt)
 		ta, loads := mustTable(rt, na.Config), NewLoads(rapid.Uint64().Draw(rt, "seed"))
+		there := na.Config
+		there.Self, there.DataCentre, there.Region = node(901), "c", "y"
+		far := mustTable(rt, there)
 		now := epoch.Add(time.Duration(rapid.IntRange(0, 40).Draw(rt, "now")) * time.Second)
 		pl, err := ta.Plan(na.call, now)
 		ro := na.route()
@@ -304,9 +341,11 @@
 			}
 			require.NotContains(rt, tried, en.Node)
 			if pl.Owned {
-				elsewhere, err := pl.table.Pick(pl, tried, NewLoads(9), now)
+				elsewhere, err := far.Plan(na.call, now)
+				require.NoError(rt, err)
+				owner, err := far.Pick(elsewhere, tried, NewLoads(9), now)
 				require.NoError(rt, err)
-				require.Equal(rt, elsewhere, en)
+				require.Equal(rt, owner, en)
 			}
 			loads.Begin(en.Node, now)
 			loads.End(en.Node, Report{
