--- a/internal/limiter/control.go
+++ b/internal/limiter/control.go
@@ -49,6 +49,14 @@
 	// warmTime is the time after which a target without signs of overload no
 	// longer counts as cold, whatever its limit.
 	warmTime = 30 * time.Second
+	// probeSamples is the number of results of a probe at half the limit,
+	// probeGain the ratio of latencies below which the load was the cause.
+	probeSamples = 8
+	probeGain    = 0.7
+	// probeRange is the multiple of the initial limit up to which a decrease
+	// leads to a probe, probeTime the least time between two.
+	probeRange = 1.5
+	probeTime  = 5 * time.Second
 	// hintAge is the age at which a hint counts half.
 	hintAge = time.Second
 	// hintTrustLoss applies to the weight of the next hints with each alarming
@@ -76,9 +84,13 @@
 	// failures is the usual failure share; below zero until it is known.
 	failures float64
 	settled  int
-	trial    trial
-	routes   map[string]*reference
-	window   window
+	// probing says that the limit is halved to learn the latency without load.
+	probing     bool
+	beforeProbe float64
+	probedAt    time.Time
+	trial       trial
+	routes      map[string]*reference
+	window      window
 	// ignore is the number of results still to come from calls that were
 	// admitted before the limit fell; they say nothing about the new limit.
 	ignore int
@@ -117,7 +129,7 @@
 	*co = control{
 		initial: co.initial, bound: co.bound, limit: co.initial, cold: true,
 		hold: holdTime, routes: map[string]*reference{}, ignore: inFlight,
-		typical: co.typical, failures: -1, trust: co.trust,
+		typical: co.typical, failures: -1, trust: co.trust, probedAt: co.probedAt,
 	}
 }
 
@@ -150,6 +162,8 @@
 	case re.Status == Shed:
 		co.hold = holdTime // the target says where its limit is; no need to wait longer
 		co.shrink(min(co.limit, float64(inFlight))*shedFactor, inFlight, now)
+	case co.probing && co.window.good+co.window.bad >= probeSamples:
+		co.endProbe(now)
 	case float64(co.window.good+co.window.bad) >= max(windowSamples, 2*co.limit):
 		co.compare(inFlight, now)
 	}
@@ -252,6 +266,31 @@
 	co.cold = co.limit < co.bound/2 && !quiet
 }
 
+// beginProbe halves a limit that fell back to about the initial one. A target
+// that is overloaded even there would otherwise have its overload taken for
+// its usual latency.
+func (co *control) beginProbe(now time.Time) {
+	co.probing = co.limit > 1 && co.limit <= probeRange*co.initial &&
+		now.Sub(co.probedAt) >= probeTime
+	if !co.probing {
+		return
+	}
+	co.probedAt, co.beforeProbe = now, co.limit
+	co.limit = max(1, co.limit/2)
+}
+
+// endProbe keeps the halved limit and its latency if the latency fell with it.
+func (co *control) endProbe(now time.Time) {
+	co.probing = false
+	if co.window.good > 0 && co.window.mean() <= probeGain {
+		co.adjust(1)
+		co.overloadAt, co.holdUntil = now, now.Add(co.hold)
+	} else {
+		co.limit = co.beforeProbe
+	}
+	co.window = window{}
+}
+
 // rise returns the weight of a sample above the reference.
 func (co *control) rise() float64 {
 	if co.limit <= co.initial {
@@ -319,6 +358,7 @@
 		co.hold = holdTime
 	}
 	co.limit = max(1, limit)
+	co.beginProbe(now)
 	co.overloadAt = now
 	co.holdUntil = now.Add(co.hold)
 	co.hold = min(2*co.hold, maxHoldTime)
--- a/internal/limiter/sim_test.go
+++ b/internal/limiter/sim_test.go
@@ -188,6 +188,14 @@
 		{"cold start", cold, func(*target) {}, 1, 0.5},
 		{"cold start, sheds", cold, func(ta *target) { ta.shed = true }, 0.97, 0.5},
 		{"cold start, thrashes", cold, func(ta *target) { ta.thrash = true }, 1, 0.5},
+		{"colder than the initial limit", cold, func(ta *target) { ta.cold = 1 }, 1, 0.5},
+		{"colder than the initial limit, thrashes", cold, func(ta *target) { ta.cold, ta.thrash = 1, true }, 1, 0.5},
+		{"cold again, low rate", cold, func(ta *target) {
+			ta.rate, ta.coldAt, ta.length = 100, []time.Duration{0, 20 * time.Second}, 40*time.Second
+		}, 1, 0.5},
+		{"cold again, low rate, thrashes", cold, func(ta *target) {
+			ta.rate, ta.thrash, ta.coldAt, ta.length = 100, true, []time.Duration{0, 20 * time.Second}, 40*time.Second
+		}, 1, 0.5},
 		{"cold again", cold, func(ta *target) { ta.coldAt, ta.length = []time.Duration{0, 20 * time.Second}, 40*time.Second }, 1, 0.5},
 		{"cold again, hints", cold, func(ta *target) {
 			ta.coldAt, ta.length, ta.hints = []time.Duration{0, 20 * time.Second}, 40*time.Second, true
