Let the average of load reports fade over 30 s instead of 10 s

Cause: with 750 nodes a node calls an endpoint every few seconds, so a report had lost much of its weight before the next.

--- a/internal/router/loads.go
+++ b/internal/router/loads.go
@@ -12,7 +12,7 @@
 
 const (
 	// reportAge is the age at which the average of the reports counts half.
-	reportAge = 10 * time.Second
+	reportAge = 30 * time.Second
 	// reportRate is the weight of one report in the average.
 	reportRate = 0.2
 	// penaltyTime is the time in which a rejection or failure loses its weight.
