--- a/internal/forwarder/bench_test.go
+++ b/internal/forwarder/bench_test.go
@@ -5,11 +5,13 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/stretchr/testify/require"
+	"github.com/stretchr/testify/assert"
 )
 
 // bareHop passes calls on with net/http alone, as the measure for a node.
@@ -17,6 +19,8 @@
 	tr := &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
 	tb.Cleanup(tr.CloseIdleConnections)
 	return serve(tb, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Without it the server may close the body while it is still sent on.
+		_ = http.NewResponseController(w).EnableFullDuplex()
 		address := *r.URL
 		address.Scheme, address.Host = "http", to.String()
 		req := (&http.Request{
@@ -32,7 +36,9 @@
 			w.Header()[name] = values
 		}
 		w.WriteHeader(resp.StatusCode)
-		_, _ = io.Copy(w, resp.Body)
+		if _, err := io.Copy(w, resp.Body); err != nil {
+			tb.Errorf("bare hop: %v", err)
+		}
 	}))
 }
 
@@ -40,42 +46,77 @@
 // 512 B up, 1 KiB down, one call after the other. The figures of allocations
 // include those of caller and target, which "direct" shows alone.
 func BenchmarkHops(b *testing.B) {
+	for _, pl := range places(b) {
+		b.Run(pl.name, func(b *testing.B) { benchmarkCalls(b, pl.to, 1, 0) })
+	}
+}
+
+// BenchmarkPaced makes the calls of the design's figures: 2,000 calls/s on 16
+// connections. Latency counts from the time a call was due.
+func BenchmarkPaced(b *testing.B) {
+	for _, pl := range places(b) {
+		b.Run(pl.name, func(b *testing.B) { benchmarkCalls(b, pl.to, 16, 2000) })
+	}
+}
+
+// place is where the calls of a benchmark go.
+type place struct {
+	name string
+	to   netip.AddrPort
+}
+
+func places(b *testing.B) []place {
 	_, target := startTarget(b, nil)
 	bareOne := bareHop(b, target)
 	last, first := startNode(b, options{target: target}), startNode(b, options{})
 	last.setTable(nil, last.id)
 	first.setTable(nil, last.id)
-	for _, bb := range []struct {
-		name string
-		to   netip.AddrPort
-	}{
+	return []place{
 		{"direct", target},
 		{"bare one", bareOne},
 		{"node one", last.caller},
 		{"bare two", bareHop(b, bareOne)},
 		{"node two", first.caller},
-	} {
-		b.Run(bb.name, func(b *testing.B) { benchmarkCalls(b, bb.to) })
 	}
 }
 
-func benchmarkCalls(b *testing.B, to netip.AddrPort) {
-	client := &http.Client{Transport: &http.Transport{}}
+// benchmarkCalls makes b.N calls on so many connections, at a rate per second
+// or, if that is zero, one after the other.
+func benchmarkCalls(b *testing.B, to netip.AddrPort, conns int, rate float64) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: conns}}
 	defer client.CloseIdleConnections()
 	body := bytes.Repeat([]byte{'x'}, 512)
+	var mu sync.Mutex
 	hist := hdrhistogram.New(1, int64(time.Minute), 3)
+	var next atomic.Int64
+	var open sync.WaitGroup
 	b.ReportAllocs()
 	b.ResetTimer()
-	for range b.N {
-		began := time.Now()
-		resp, err := client.Do(newRequest(b, http.MethodPost, to, "/confirm", "id", body))
-		require.NoError(b, err)
-		nn, err := io.Copy(io.Discard, resp.Body)
-		require.NoError(b, err)
-		require.NoError(b, resp.Body.Close())
-		require.Equal(b, int64(1024), nn)
-		_ = hist.RecordValue(int64(time.Since(began)))
+	start := time.Now()
+	for range conns {
+		open.Go(func() {
+			for nn := next.Add(1); nn <= int64(b.N); nn = next.Add(1) {
+				due := time.Now()
+				if rate > 0 {
+					due = start.Add(time.Duration(float64(nn) / rate * float64(time.Second)))
+					time.Sleep(time.Until(due))
+				}
+				resp, err := client.Do(newRequest(b, http.MethodPost, to, "/confirm", "id", body))
+				if !assert.NoError(b, err) {
+					return
+				}
+				size, err := io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+				assert.NoError(b, err)
+				assert.Equal(b, int64(1024), size)
+				took := int64(time.Since(due))
+				mu.Lock()
+				_ = hist.RecordValue(took)
+				mu.Unlock()
+			}
+		})
 	}
+	open.Wait()
 	b.StopTimer()
 	b.ReportMetric(float64(hist.ValueAtQuantile(50))/1e6, "p50-ms")
 	b.ReportMetric(float64(hist.ValueAtQuantile(99))/1e6, "p99-ms")
