Stop a node in one step, and blame targets only for their own faults

Cause: the order of a planned stop was left to the caller; a claim that the log refused, a body over its limit and a duplicate key counted as failures of the target, in its limiter, in the routing loads and as evidence for rollouts. Before: limiter results of such calls were Failed. After: they say nothing about the target; the test of claims fails without this. Stop(ctx, forwarder, callers, peers) drains in the order that loses no call, and the test under load uses it.

--- a/internal/forwarder/drain_test.go
+++ b/internal/forwarder/drain_test.go
@@ -50,6 +50,7 @@
 	stop()
 	no.fw.remote.count.Add(1)
 	require.ErrorIs(t, no.fw.Drain(gone), context.Canceled)
+	require.ErrorIs(t, Stop(gone, no.fw, no.callers, no.peers), context.Canceled)
 	no.fw.remote.count.Add(-1)
 }
 
@@ -188,9 +189,7 @@
 			eventually(t, func() bool { return wo.calls.Load() >= 200 }, "200 calls before")
 			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 			defer cancel()
-			require.NoError(t, leaving.callers.Drain(ctx))
-			require.NoError(t, leaving.fw.Drain(ctx))
-			require.NoError(t, leaving.peers.Drain(ctx))
+			require.NoError(t, Stop(ctx, leaving.fw, leaving.callers, leaving.peers))
 			before := wo.calls.Load()
 			eventually(t, func() bool { return wo.calls.Load() >= before+200 }, "200 calls after")
 			require.Empty(t, wo.finish())
--- a/internal/forwarder/first.go
+++ b/internal/forwarder/first.go
@@ -210,7 +210,7 @@
 	ob := Observation{
 		Service: jo.plan.Service, Route: jo.plan.Route.Name, Move: jo.plan.Move,
 		Version: rp.endpoint.Version, Outcome: rp.outcome, Cold: rp.report.Cold,
-		Cancelled: en == cancelled, Latency: latency,
+		NoEvidence: en == blameless, Latency: latency,
 	}
 	switch en {
 	case complete:
@@ -223,7 +223,7 @@
 		if rp.outcome == retrier.Answered {
 			ob.Outcome = retrier.Unknown
 		}
-	case cancelled:
+	case blameless:
 	}
 	fw.parts.Loads.End(rp.endpoint.Node, rp.report, now)
 	fw.parts.Observer.Observe(ob)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -94,8 +94,9 @@
 	Failed bool
 	// Cold says that the target was warming up.
 	Cold bool
-	// Cancelled says that the caller left; the attempt is no evidence.
-	Cancelled bool
+	// NoEvidence says that the end has nothing to do with the target: the
+	// caller left, or the call itself was at fault.
+	NoEvidence bool
 	// Latency is the time from the start of the attempt to its end.
 	Latency time.Duration
 }
@@ -242,8 +243,8 @@
 // Drain makes the admission reject every new call as not run, of kind
 // Draining, and waits until the calls in flight have finished, both those that
 // other nodes sent and those that callers started here. Callers' calls are
-// still served; they go to other nodes. The error is that of the context if it
-// ends first.
+// still served and go to other nodes, so the callers' server has to stop first.
+// The error is that of the context if it ends first. [Stop] does all of it.
 func (fw *Forwarder) Drain(ctx context.Context) error {
 	fw.gate.drain()
 	if err := fw.remote.wait(ctx); err != nil {
@@ -252,6 +253,23 @@
 	return fw.callers.wait(ctx)
 }
 
+// Stop ends a node without losing a call: the admission rejects new work, the
+// callers' server stops, the calls in flight finish, and the peers' server
+// stops. Peers should know of it before, so that they send nothing new. The
+// error is that of the context if it ends first; the servers are closed then.
+func Stop(ctx context.Context, fw *Forwarder, callers, peers *Server) error {
+	fw.gate.drain()
+	err := callers.Drain(ctx)
+	if errDrain := fw.Drain(ctx); err == nil {
+		err = errDrain
+	}
+	if errPeers := peers.Drain(ctx); err == nil {
+		err = errPeers
+	}
+	fw.Close()
+	return err
+}
+
 // InFlight returns the numbers of calls in flight that callers started here
 // and that other nodes sent.
 func (fw *Forwarder) InFlight() (callers, peers int) {
--- a/internal/forwarder/hedge.go
+++ b/internal/forwarder/hedge.go
@@ -108,7 +108,7 @@
 		rp := <-ra.results
 		rp.abandon()
 		rp.err = answerer.New(answerer.Cancelled, "another attempt answered first")
-		ra.jo.finish(rp, cancelled)
+		ra.jo.finish(rp, blameless)
 	}
 	winner.cancel = func() { cancelAll(ra.cancels) }
 }
--- a/internal/forwarder/once_test.go
+++ b/internal/forwarder/once_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/guavastall/guavastall/internal/answerer"
 	"github.com/guavastall/guavastall/internal/deduper"
+	"github.com/guavastall/guavastall/internal/limiter"
 	"github.com/guavastall/guavastall/internal/targetserver"
 	"github.com/guavastall/guavastall/pkg/checker"
 )
@@ -151,7 +152,7 @@
 
 // Guards against two owners that run the same call, against a call that runs
 // without a claim, and against a key that stays blocked by a lost response of
-// the log although its call did not run.
+// the log although its call did not run. None of it is a fault of the target.
 func TestClaims(t *testing.T) {
 	target, address := startTarget(t, nil)
 	log := &claimLog{}
@@ -179,6 +180,14 @@
 		require.Equal(t, "answered", keyed(t, old, "/log", id, id, true).outcome())
 		require.Equal(t, 1, target.Executions(id))
 	}
+	for _, no := range nodes {
+		no.limiter.mu.Lock()
+		require.NotContains(t, no.limiter.results, limiter.Failed)
+		no.limiter.mu.Unlock()
+		for _, ob := range no.observer.list() {
+			require.False(t, ob.Failed)
+		}
+	}
 	none := startNode(t, options{target: address})
 	none.setTable(nil, none.id)
 	keyed(t, none, "/log", "d", "d", false).requireError(t, answerer.PlatformUnavailable, "notRun")
--- a/internal/forwarder/reply.go
+++ b/internal/forwarder/reply.go
@@ -203,15 +203,21 @@
 type ending uint8
 
 const (
+	// complete is a whole response.
 	complete ending = iota
+	// broken is a failure of the target or of the way to it.
 	broken
-	cancelled
+	// blameless is an end that says nothing about the target, such as a caller
+	// that left.
+	blameless
 )
 
 // endOf returns the ending of an attempt that brought no response to pass on.
 func (rp *reply) endOf() ending {
-	if rp.err != nil && answerer.KindOf(rp.err) == answerer.Cancelled {
-		return cancelled
+	switch answerer.KindOf(rp.err) {
+	case answerer.Cancelled, answerer.TooLarge, answerer.BadRequest,
+		answerer.PlatformUnavailable, answerer.DuplicateKey:
+		return blameless
 	}
 	return broken
 }
@@ -224,7 +230,7 @@
 	rp.admitted = false
 	re := limiter.Result{Latency: fw.config.Now().Sub(rp.began), Status: limiter.Failed}
 	switch {
-	case en == cancelled:
+	case en == blameless:
 		re.Status = limiter.Cancelled
 	case en == complete && rp.resp.StatusCode < http.StatusInternalServerError &&
 		rp.resp.StatusCode != http.StatusTooManyRequests:
--- a/internal/forwarder/respond.go
+++ b/internal/forwarder/respond.go
@@ -104,14 +104,14 @@
 	switch {
 	case rp.buffer != nil:
 		if _, err := w.Write(rp.data); err != nil {
-			en = cancelled
+			en = blameless
 		}
 	case !rp.atEOF:
 		en = rp.copyBody(w)
 	}
 	if en == broken && ca.request.Context().Err() != nil &&
 		fw.config.Now().Before(ca.deadline) {
-		en = cancelled
+		en = blameless
 	}
 	rp.abandon()
 	finish(en)
@@ -136,7 +136,7 @@
 		nn, err := rp.Read(buffer[:])
 		if nn > 0 {
 			if _, werr := w.Write(buffer[:nn]); werr != nil {
-				return cancelled
+				return blameless
 			}
 			if flusher != nil {
 				flusher.Flush()
--- a/internal/forwarder/stream_test.go
+++ b/internal/forwarder/stream_test.go
@@ -69,6 +69,35 @@
 	}
 }
 
+// Guards against a response that waits for the end of its request, which the
+// caller may hold back until it has seen the response begin.
+func TestResponseBeforeEndOfRequest(t *testing.T) {
+	address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rc := http.NewResponseController(w)
+		_ = rc.EnableFullDuplex()
+		_, _ = io.WriteString(w, "first")
+		_ = rc.Flush()
+		_, _ = io.Copy(w, r.Body)
+	}))
+	last, first := startNode(t, options{target: address}), startNode(t, options{})
+	first.setTable(nil, last.id)
+	body, more := io.Pipe()
+	req := newRequest(t, http.MethodPost, first.caller, "/confirm", "a", nil)
+	req.Body, req.ContentLength = body, -1
+	resp, err := caller.Do(req)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	part := make([]byte, 5)
+	_, err = io.ReadFull(resp.Body, part)
+	require.NoError(t, err)
+	_, err = io.WriteString(more, "second")
+	require.NoError(t, err)
+	require.NoError(t, more.Close())
+	rest, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, "firstsecond", string(part)+string(rest))
+}
+
 // zeros is an endless body.
 type zeros struct{}
 
