Pass over records that the log dropped before any node read them

Cause: a record appended just before an outage that lasts longer than the retention is gone when the log returns; every node then waits for that offset for ever and no publication takes effect again. The reducer gains Skip and Newer: at equal offsets, which differ only after a skip, the greater revision wins. Seen to fail: TestRecordDroppedUnread without the skip, TestSkip without the comparison of revisions at equal offsets. Conclusion: the fold never goes on across a gap by itself; the skip is logged as an error. Two nodes that skip from different memories agree when they meet.

--- a/internal/distributor/distributor.go
+++ b/internal/distributor/distributor.go
@@ -44,6 +44,9 @@
 	defaultPoll              = 2 * time.Second
 	defaultCallTimeout       = 2 * time.Second
 	defaultTick              = 200 * time.Millisecond
+	// defaultGapWait is several periods of the exchange with neighbours, in
+	// which a node that does hold the missing records would have shown.
+	defaultGapWait = 10 * time.Second
 )
 
 // Caller calls methods of other nodes.
@@ -105,6 +108,9 @@
 	CallTimeout time.Duration
 	// Tick is the time between looks at members and upkeep.
 	Tick time.Duration
+	// GapWait is the least time before a node passes over records that the log
+	// dropped and that no checkpoint or neighbour has.
+	GapWait time.Duration
 	// Reader holds the settings of the decision when to read the log.
 	Reader elector.Config
 	// Relay holds the settings of the exchange with neighbours.
@@ -133,6 +139,7 @@
 	setDefault(&cf.Poll, defaultPoll)
 	setDefault(&cf.CallTimeout, defaultCallTimeout)
 	setDefault(&cf.Tick, defaultTick)
+	setDefault(&cf.GapWait, defaultGapWait)
 	cf.Reader.Self = cf.Self
 	cf.Relay.Self = cf.Self.Node
 	return nil
@@ -175,9 +182,11 @@
 	found []checker.NodeID
 	stats Stats
 
-	// elect and rnd belong to the goroutine that reads the log.
+	// elect, rnd and gapAt belong to the goroutine that reads the log.
 	elect *elector.Reader
 	rnd   *rand.Rand
+	// gapAt is when the node may pass over a gap in the log; zero if there is none.
+	gapAt time.Time
 	// reading says that this node is a reader and its last read succeeded.
 	reading atomic.Bool
 }
--- a/internal/distributor/distributor_test.go
+++ b/internal/distributor/distributor_test.go
@@ -149,6 +149,34 @@
 	reach(t, last.Revision, lone)
 }
 
+// Guards against nodes that never accept a publication again because the log
+// dropped a record that none of them had read.
+func TestRecordDroppedUnread(t *testing.T) {
+	cl := newCluster(t, logserver.Config{})
+	nodes := cl.start(6, 2)
+	allFresh(t, nodes)
+	last := publish(t, nodes[0], "v1")
+	reach(t, last.Revision, nodes...)
+	for _, tn := range nodes {
+		tn.log.setCut(true)
+	}
+	for _, stream := range []string{ConfigurationStream, CheckpointStream} {
+		_, err := cl.log.Append(stream, []byte("never read"))
+		require.NoError(t, err)
+		require.NoError(t, cl.log.Trim(stream, 1<<40))
+	}
+	for _, tn := range nodes {
+		tn.log.setCut(false)
+	}
+	for _, tn := range nodes {
+		eventually(t, "the gap is passed", func() bool { return tn.State().Next() > uint64(last.Revision) })
+		require.Equal(t, last.Revision, tn.State().Revision())
+	}
+	next := publish(t, nodes[3], "v2")
+	require.True(t, next.Accepted, next.Problem)
+	reach(t, next.Revision, nodes...)
+}
+
 // Guards against a data centre that gets no configuration when it is
 // partitioned from the log but not from the other data centres.
 func TestDataCentreWithoutLog(t *testing.T) {
@@ -341,6 +369,7 @@
 	}
 	lone := cl.node(9, 1, 1)
 	lone.run()
+	eventually(t, "a peer answers", func() bool { return lone.contact().Answered > 0 })
 	reach(t, last.Revision, lone)
 	eventually(t, "the membership is told", func() bool {
 		mu.Lock()
--- a/internal/distributor/read.go
+++ b/internal/distributor/read.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/guavastall/guavastall/internal/appender"
@@ -110,6 +112,7 @@
 	if err != nil {
 		return err
 	}
+	ds.gapAt = time.Time{}
 	ds.take(ba)
 	return nil
 }
@@ -154,8 +157,50 @@
 	if err := ds.loadCheckpoint(ctx); err != nil {
 		return err
 	}
-	if ds.next() < trimmed.First {
+	if ds.next() >= trimmed.First {
+		return nil
+	}
+	if !ds.mayPass() {
 		return &trimmed
 	}
+	return ds.passGap(ctx, trimmed.First)
+}
+
+// staleGapFactor makes a node that has just started wait longer, because its
+// memory is the oldest.
+const staleGapFactor = 4
+
+// mayPass reports whether the gap has lasted long enough without any sign of
+// the missing records. The wait differs between readers, so that mostly one of
+// them passes over the gap and the others adopt its checkpoint.
+func (ds *Distributor) mayPass() bool {
+	now := ds.config.Now()
+	if ds.contact().Next > ds.next() {
+		ds.gapAt = time.Time{}
+		return false
+	}
+	if ds.gapAt.IsZero() {
+		wait := ds.config.GapWait + rand.N(ds.config.GapWait)
+		if ds.Stale() {
+			wait *= staleGapFactor
+		}
+		ds.gapAt = now.Add(wait)
+	}
+	return !now.Before(ds.gapAt)
+}
+
+// passGap makes the memory of this node the source from which the log goes on.
+func (ds *Distributor) passGap(ctx context.Context, first uint64) error {
+	ds.config.Logger.WithField("offset", ds.next()).WithField("first", first).
+		Error("records were dropped by the log before any node read them; passing over them")
+	ds.update(func(rl *relayer.Relayer, _ time.Time) { rl.Skip(first) })
+	data, err := ds.State().Checkpoint()
+	if err != nil {
+		return err
+	}
+	ds.count(func(st *Stats) { st.LogRequests++ })
+	if _, err := ds.config.Log.Append(ctx, CheckpointStream, data); err != nil {
+		return fmt.Errorf("append checkpoint: %w", err)
+	}
 	return nil
 }
--- a/internal/reducer/record.go
+++ b/internal/reducer/record.go
@@ -115,11 +115,34 @@
 	return (&State{}).withLogged(lo), nil
 }
 
+// Skip returns the state with the given next offset, for records that the log
+// dropped before any node read them. States that skip from different offsets
+// differ until [State.Adopt] settles which one stands.
+func (st *State) Skip(next uint64) *State {
+	if next <= st.logged.Next {
+		return st
+	}
+	lo := st.logged
+	lo.Next = next
+	lo.Skips++
+	return st.withLogged(lo)
+}
+
+// Newer reports whether [State.Adopt] would take the other's offset and
+// revision. At equal offsets, which differ in revision only after a [State.Skip],
+// the greater revision wins because it rests on more records.
+func (st *State) Newer(next uint64, revision checker.Revision) bool {
+	if next == st.logged.Next {
+		return revision > st.logged.Revision
+	}
+	return next > st.logged.Next && revision >= st.logged.Revision
+}
+
 // Adopt returns the newer of the state and a checkpoint, with the facts of
 // both. It never returns a state with a lower offset or revision.
 func (st *State) Adopt(other *State) *State {
 	base, extra := st, other
-	if other.logged.Next > st.logged.Next && other.logged.Revision >= st.logged.Revision {
+	if st.Newer(other.logged.Next, other.logged.Revision) {
 		base, extra = st.withLogged(other.logged), other
 	}
 	for _, fa := range extra.Facts() {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -51,6 +51,8 @@
 	Moves     map[checker.MoveID]Move              `json:"moves,omitempty"`
 	Results   []Result                             `json:"results,omitempty"`
 	Facts     facts                                `json:"facts"`
+	// Skips counts the gaps that Skip has passed over.
+	Skips uint64 `json:"skips,omitempty"`
 }
 
 // Result says what became of a publication.
@@ -125,6 +127,11 @@
 // Next returns the offset of the next record to fold.
 func (st *State) Next() uint64 { return st.logged.Next }
 
+// Skips returns the number of gaps in the log that this state has passed over.
+// Two states without any that have the same Next are equal but for facts heard
+// from peers.
+func (st *State) Skips() uint64 { return st.logged.Skips }
+
 // Revision returns the configuration revision.
 func (st *State) Revision() checker.Revision { return st.logged.Revision }
 
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -175,6 +175,28 @@
 	require.ErrorIs(t, err, ErrTorn)
 }
 
+// Guards against nodes that never fold again because the log dropped records
+// that none of them had read, and against a node that skipped from an older
+// state and keeps it.
+func TestSkip(t *testing.T) {
+	old, _ := foldAll(t, &State{}, Record{ID: "a", Document: testDocument("v1")})
+	newer, _ := foldAll(t, old, Record{ID: "b", Base: 1, Document: testDocument("v2")})
+	old, newer = old.Skip(5), newer.Skip(5)
+	require.Equal(t, uint64(5), newer.Next())
+	require.Equal(t, checker.Revision(2), newer.Revision())
+	require.Equal(t, newer.Document(), old.Adopt(newer).Document())
+	require.Equal(t, newer.Document(), newer.Adopt(old).Document())
+	require.Same(t, newer, newer.Skip(4))
+	next, re := foldAll(t, newer, Record{ID: "c", Base: 2, Document: testDocument("v3")})
+	require.True(t, re.Accepted)
+	require.Equal(t, checker.Revision(6), next.Revision())
+	data, err := next.Checkpoint()
+	require.NoError(t, err)
+	loaded, err := LoadCheckpoint(data)
+	require.NoError(t, err)
+	require.Equal(t, uint64(1), loaded.Skips())
+}
+
 // genRecord draws a record that builds on a revision near the current one.
 func genRecord(rt *rapid.T, st *State) Record {
 	base := checker.Revision(max(0, int(st.Revision())-rapid.IntRange(0, 1).Draw(rt, "lag")))
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -64,6 +64,8 @@
 	Revision checker.Revision
 	// Facts is the digest of the facts.
 	Facts uint64
+	// Skips counts the gaps in the log that the node has passed over.
+	Skips uint64
 	// LogAge is the time since a node read the log successfully, as far as
 	// this one has heard; negative if it has not heard of any such read.
 	LogAge time.Duration
@@ -158,6 +160,8 @@
 	state  *reducer.State
 	window window
 	peers  map[checker.NodeID]*peer
+	// order holds the keys of peers in order.
+	order []checker.NodeID
 	// logSeen is when a node last read the log, as far as this one has heard.
 	logSeen time.Time
 	stale   bool
@@ -213,7 +217,7 @@
 	}
 	return Digest{
 		First: rl.window.first, Next: rl.window.next(),
-		Folded: rl.state.Next(), Revision: rl.state.Revision(),
+		Folded: rl.state.Next(), Revision: rl.state.Revision(), Skips: rl.state.Skips(),
 		Facts: rl.cached().digest, LogAge: age, Stale: rl.stale,
 	}
 }
@@ -235,6 +239,14 @@
 	rl.fold()
 }
 
+// Skip passes over records that the log dropped before any node read them.
+func (rl *Relayer) Skip(next uint64) {
+	rl.setState(rl.state.Skip(next))
+	if next > rl.window.next() {
+		rl.window = window{first: next}
+	}
+}
+
 // Join adds facts that arose at this node. It reports whether any is news.
 func (rl *Relayer) Join(facts []reducer.Fact, now time.Time) bool {
 	return rl.takeFacts(checker.NodeID{}, facts, now)
@@ -254,9 +266,10 @@
 func (rl *Relayer) Serve(pl Pull, now time.Time) Reply {
 	rl.heard(pl.From, pl.Digest, now)
 	answer := Reply{Digest: rl.Digest(now)}
-	if pl.Records && pl.Digest.Next < rl.window.next() {
+	if pl.Records {
 		from := pl.Digest.Next
-		if from < rl.window.first {
+		diverged := pl.Digest.Folded == rl.state.Next() && pl.Digest.Revision < rl.state.Revision()
+		if from < rl.window.first || diverged {
 			answer.Checkpoint = rl.checkpoint()
 			from = rl.state.Next()
 		}
@@ -281,7 +294,7 @@
 		pe.sent = nil
 		return
 	}
-	before, digest := rl.Next(), rl.cached().digest
+	before, digest := rl.progress(), rl.cached().digest
 	rl.finishPull(pe, ac.Pull)
 	if len(re.Checkpoint) > 0 {
 		// A checkpoint that this build cannot read leaves the state as it is.
@@ -292,7 +305,7 @@
 	rl.takeRecords(re.Records)
 	rl.takeFacts(ac.To, re.Facts, now)
 	if ac.Pull.Records {
-		pe.recordPulls.note(rl.Next() > before, now, rl.config.Period)
+		pe.recordPulls.note(rl.progress() != before, now, rl.config.Period)
 	}
 	if len(ac.Pull.Buckets) > 0 {
 		pe.factPulls.note(rl.cached().digest != digest, now, rl.config.Period)
@@ -317,6 +330,16 @@
 	pe.sent = nil
 }
 
+// progress holds what a useful pull of records changes.
+type progress struct {
+	next     uint64
+	revision checker.Revision
+}
+
+func (rl *Relayer) progress() progress {
+	return progress{rl.Next(), rl.state.Revision()}
+}
+
 func (rl *Relayer) finishPull(pe *peer, pl *Pull) {
 	pe.pulling = false
 	if pl.Records {
