--- a/internal/evaluator/evaluation.go
+++ b/internal/evaluator/evaluation.go
@@ -124,7 +124,7 @@
 	}
 	// A data centre without traffic passes every step without a call.
 	unseen := ev.st.Step > len(ev.co.Rollout.Steps) && ev.judge.quiet()
-	if reason := ev.judge.verdict(ev.st.First && ev.st.Step == 1, unseen); reason != "" {
+	if reason := ev.judge.verdict(ev.st.First && ev.st.Step == 1, unseen, now); reason != "" {
 		return ev.takeBack(reason)
 	}
 	last := len(ev.co.Rollout.Steps)
