--- a/internal/evaluator/evaluation_test.go
+++ b/internal/evaluator/evaluation_test.go
@@ -179,6 +179,30 @@
 	}
 }
 
+// Guards against trouble of the data centre that is taken for a fault of the
+// version at its first calls, and an advance in the midst of it.
+func TestEvaluationTrouble(t *testing.T) {
+	good := []Sample{sampleOf(Old, 100, 0, usual), sampleOf(New, 4, 0, usual)}
+	be := newBench(Standing{Open: true, Ready: true, Step: 1, First: true})
+	for range 20 {
+		be.tick(good[0])
+	}
+	for range 3 {
+		de := be.tick(sampleOf(Old, 100, 30, usual), sampleOf(New, 1, 1, usual))
+		require.Equal(t, Hold, de.Kind, de.Reason)
+	}
+
+	be = newBench(Standing{Open: true, Ready: true, Step: 1})
+	for range 9 {
+		require.Equal(t, Hold, be.tick(good...).Kind)
+	}
+	for range 6 {
+		de := be.tick(sampleOf(Old, 100, 30, usual), good[1])
+		require.Equal(t, Hold, de.Kind)
+		require.Regexp(t, "step time|old version fails more", de.Reason)
+	}
+}
+
 // Guards against a service with little traffic that never moves, or moves on
 // although a call to the new version failed.
 func TestEvaluationQuiet(t *testing.T) {
--- a/internal/promoter/promoter_test.go
+++ b/internal/promoter/promoter_test.go
@@ -94,6 +94,7 @@
 	id       checker.NodeID
 	dc       checker.DataCentre
 	version  checker.Version
+	service  checker.Service
 	st       *reducer.State
 	dead     bool
 	deaf     bool // refuses reports
@@ -113,7 +114,7 @@
 		no := &node{
 			me: me, id: netip.MustParseAddrPort(fmt.Sprintf("127.0.0.%d:80", nn+1)),
 			dc:      []checker.DataCentre{"lahore", "multan", "faisalabad"}[nn%3],
-			version: []checker.Version{"v1", "v2"}[nn/3%2], st: st,
+			version: []checker.Version{"v1", "v2"}[nn/3%2], service: "tag", st: st,
 			splitter: &evaluator.Splitter{}, co: &evaluator.Collector{},
 		}
 		log := logrus.New()
@@ -137,7 +138,7 @@
 	var list []Endpoint
 	for _, other := range no.me.nodes {
 		list = append(list, Endpoint{
-			Node: other.id, DataCentre: other.dc, Service: "tag", Version: other.version,
+			Node: other.id, DataCentre: other.dc, Service: other.service, Version: other.version,
 			Alive: no.me.reach(no, other),
 		})
 	}
@@ -346,14 +347,71 @@
 
 func (discard) Join([]reducer.Fact) {}
 
-// Guards against a data centre without traffic that holds the move up because
-// operators have taken it out, or that moves on unseen.
+// Guards against a data centre that holds the move up because operators have
+// taken it out, or that moves on without traffic.
 func TestDataCentreOut(t *testing.T) {
-	me := newMesh(t, 7, time.Hour)
-	mark := me.nodes[0].st.NextMark("multan", true)
-	me.nodes[0].Join([]reducer.Fact{{Mark: &mark}})
+	for _, from := range []int{0, 2} {
+		me := newMesh(t, 7, time.Hour)
+		for me.nodes[0].st.Moves()[0].Steps["multan"] < from {
+			me.second()
+		}
+		mark := me.nodes[0].st.NextMark("multan", true)
+		me.nodes[0].Join([]reducer.Fact{{Mark: &mark}})
+		for _, no := range me.nodes {
+			no.dead = from > 0 && no.dc == "lahore" // keeps the move open
+		}
+		for range 60 {
+			me.second()
+		}
+		require.Equal(t, from, me.nodes[1].st.Moves()[0].Steps["multan"])
+		for _, no := range me.nodes {
+			no.dead = false
+		}
+		me.nodes[1].Join(me.nodes[1].st.Facts())
+		me.run(reducer.Done, 120)
+		require.Equal(t, from, me.nodes[1].st.Moves()[0].Steps["multan"])
+	}
+}
+
+// Guards against a rollback because a data centre without the service has not
+// passed the steps.
+func TestDataCentreWithoutService(t *testing.T) {
+	me := newMesh(t, 12, 2*time.Minute)
+	for _, no := range me.nodes {
+		if no.dc == "multan" {
+			no.service = "grove"
+		}
+	}
 	me.run(reducer.Done, 120)
-	require.Zero(t, me.nodes[0].st.Moves()[0].Steps["multan"])
+}
+
+// Guards against evidence kept from an earlier time as evaluator.
+func TestEvaluatorChanges(t *testing.T) {
+	me := newMesh(t, 13, time.Hour)
+	me.second()
+	for _, no := range me.nodes {
+		id := no.st.Moves()[0].ID
+		evaluates := newView(no.pr.co, no.st).owner("tag", no.dc) == no.id
+		require.Equal(t, evaluates, no.pr.moves[id].evaluation != nil)
+		no.pr.co.Owner = func(string, []checker.NodeID) checker.NodeID { return checker.NodeID{} }
+		no.pr.Tick(t.Context(), me.now)
+		require.Nil(t, no.pr.moves[id].evaluation)
+	}
+}
+
+// Guards against nodes that all send their first call to the same version.
+func TestRanks(t *testing.T) {
+	me := newMesh(t, 14, time.Hour)
+	me.second()
+	news := map[checker.DataCentre]int{}
+	for _, no := range me.nodes {
+		if no.splitter.Assign(99, 0.25, me.now) == evaluator.New {
+			news[no.dc]++
+		}
+	}
+	for dc, count := range news {
+		require.Less(t, count, 4, "all four nodes of %s", dc)
+	}
 }
 
 // Guards against a move that is rushed, or left half done, when a data centre
@@ -369,6 +427,65 @@
 	require.Contains(t, me.nodes[0].st.Moves()[0].Reason, "deadline")
 }
 
+// Guards against a move that ends without every data centre, moves backwards
+// or comes back after a rollback, whatever fails in between.
+func TestRandomFailures(t *testing.T) {
+	seeds := 30
+	if testing.Short() {
+		seeds = 5
+	}
+	before := asserter.Violations()
+	ends := map[reducer.Phase]int{}
+	for seed := range seeds {
+		me := newMesh(t, uint64(100+seed), 4*time.Minute)
+		rd := rand.New(rand.NewPCG(uint64(seed), 9))
+		bad := rd.IntN(3) == 0
+		from := rd.IntN(60)
+		dcs := []checker.DataCentre{"lahore", "multan", "faisalabad"}
+		steps := make([]map[checker.DataCentre]int, len(me.nodes))
+		taken := make([]bool, len(me.nodes))
+		for sec := range 250 {
+			switch rd.IntN(40) {
+			case 0:
+				me.cut[dcs[rd.IntN(3)]] = true
+			case 1, 2:
+				me.heal()
+			case 3:
+				no := me.nodes[rd.IntN(len(me.nodes))]
+				no.dead = !no.dead
+			}
+			if bad && sec >= from {
+				me.fails = func(checker.DataCentre) float64 { return 0.5 }
+			}
+			me.second()
+			for nn, no := range me.nodes {
+				mo := no.st.Moves()[0]
+				for dc, step := range steps[nn] {
+					require.GreaterOrEqual(t, mo.Steps[dc], step)
+				}
+				require.False(t, taken[nn] && mo.Phase != reducer.TakenBack)
+				for _, dc := range dcs {
+					require.False(t, mo.Phase == reducer.Done && mo.Steps[dc] != 4,
+						"seed %d: done without %s", seed, dc)
+				}
+				steps[nn], taken[nn] = mo.Steps, mo.Phase == reducer.TakenBack
+			}
+		}
+		me.heal()
+		for _, no := range me.nodes {
+			if !no.dead {
+				ends[no.phase()]++
+			}
+		}
+	}
+	require.Equal(t, before, asserter.Violations())
+	require.Zero(t, ends[reducer.Pending], "a deadline ends every move")
+	require.Positive(t, ends[reducer.TakenBack])
+	if !testing.Short() {
+		require.Positive(t, ends[reducer.Done])
+	}
+}
+
 // Guards against decisions that leave no trace for operators.
 func TestLogsDecisions(t *testing.T) {
 	me := newMesh(t, 9, time.Hour)
--- a/internal/promoter/view.go
+++ b/internal/promoter/view.go
@@ -21,13 +21,16 @@
 func newView(co Config, st State) *view {
 	vi := &view{
 		co: co, state: st, nodes: map[checker.DataCentre][]checker.NodeID{},
-		endpoints: co.Members.Endpoints(),
 	}
 	for _, mo := range st.Moves() {
 		if mo.Phase == reducer.Pending {
 			vi.moves = append(vi.moves, mo)
 		}
 	}
+	if len(vi.moves) == 0 {
+		return vi // the list of members is long, and nothing needs it
+	}
+	vi.endpoints = co.Members.Endpoints()
 	for _, ep := range vi.endpoints {
 		if ep.Alive {
 			vi.nodes[ep.DataCentre] = append(vi.nodes[ep.DataCentre], ep.Node)
