Keep healed partitions from suspecting everyone, send fewer duplicates

Cause: after a partition each side spread the other side's verdicts as suspicions, so every node suspected its whole side until all had refuted; and changes were sent to peers that had already sent them. A peer that was dead until lately makes its verdicts doubts: the node tells the member, which refutes it, and spreads nothing. Each record notes in a bit per peer who has sent it. The aggregator now spreads its summary again when a greater epoch from before a restart hides it. Conclusion: verdicts from across a healed partition need no spreading.

--- a/internal/aggregator/aggregator.go
+++ b/internal/aggregator/aggregator.go
@@ -70,6 +70,7 @@
 	ownerSince  time.Time
 	lastSummary Summary
 	lastTime    time.Time
+	lastEpoch   uint64
 }
 
 // New returns an Aggregator that has not started.
@@ -213,13 +214,16 @@
 	}
 	su := ag.reports.Summarise(self.DataCentre, members, 3*ag.config.ReportTime, now)
 	waiting := su.SilentCount > 0 && now.Sub(ag.ownerSince) < 2*ag.config.ReportTime
-	if waiting || age < ag.config.RefreshTime && su.same(ag.lastSummary) {
+	// A greater epoch is another node's, or that of a summary from before all
+	// nodes of the data centre restarted.
+	key := notePrefix + string(self.DataCentre)
+	epoch := ag.gossip.Notes()[key].Epoch
+	same := su.same(ag.lastSummary) && epoch == ag.lastEpoch
+	if waiting || age < ag.config.RefreshTime && same {
 		return
 	}
-	ag.lastSummary, ag.lastTime = su, now
-	key := notePrefix + string(self.DataCentre)
-	epoch := ag.gossip.Notes()[key].Epoch + 1
-	ag.gossip.SetNote(detector.Note{Key: key, Epoch: epoch, Data: su.Encode()})
+	ag.lastSummary, ag.lastTime, ag.lastEpoch = su, now, epoch+1
+	ag.gossip.SetNote(detector.Note{Key: key, Epoch: ag.lastEpoch, Data: su.Encode()})
 }
 
 // hear takes in the summaries that the gossip brought.
--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -58,6 +58,8 @@
 	slowFactor = 3
 	// messageLimit bounds the changes in a probe: about 2 KB.
 	messageLimit = 64
+	// tellLimit bounds the pings to doubted members at a tick.
+	tellLimit = 8
 	// offerLimit bounds the members in an exchange: about 6 KB.
 	offerLimit = 256
 	// firstLimit bounds them in the first answer of an exchange. With
@@ -66,6 +68,8 @@
 	firstLimit = 32
 	// contactTime is how long a node without any contact trusts its verdicts.
 	contactTime = 3 * time.Second
+	// returnTime is how long a member counts as returned.
+	returnTime = 10 * time.Second
 	// peerTime is how long a peer is remembered after the last contact.
 	peerTime = time.Minute
 	// mismatchTime is how long digests may differ before an exchange.
@@ -103,6 +107,11 @@
 	// suspects holds the time since which each suspect is suspected.
 	suspects map[checker.NodeID]time.Time
 	queue    []Action
+	// bits has the bits that the peers use.
+	bits        uint64
+	refutations uint64
+	// doubts lists the members still to be told that others hold them for dead.
+	doubts []checker.NodeID
 	// locals is above zero while the table holds verdicts that are not spread.
 	locals int
 	// failing says that most of the node's own probes fail.
@@ -123,7 +132,7 @@
 		config: co, node: self.Node, table: newTable(), peers: map[checker.NodeID]*peer{},
 		suspects: map[checker.NodeID]time.Time{}, lastTick: now, resumed: now, lastContact: now,
 	}
-	de.table.set(self, self.Node, now)
+	de.table.set(self, 0, now)
 	de.nextJoin = now.Add(de.jitter(co.JoinTime) / 2)
 	de.nextExchange = now.Add(de.jitter(co.ExchangeTime))
 	de.nextRetry = now.Add(de.jitter(co.RetryTime))
@@ -179,11 +188,11 @@
 func (de *Detector) setSelf(me Member, now time.Time) {
 	asserter.That(me.Incarnation > de.self().Incarnation, "incarnationNeverDecreases",
 		"%v goes from incarnation %d to %d", de.node, de.self().Incarnation, me.Incarnation)
-	de.table.set(me, de.node, now)
+	de.table.set(me, 0, now)
 }
 
 // SetNote sets a note if it supersedes the known one, and reports whether it does.
-func (de *Detector) SetNote(no Note) bool { return de.table.setNote(no, de.node) }
+func (de *Detector) SetNote(no Note) bool { return de.table.setNote(no, 0) }
 
 // Notes returns the notes by key. The caller must not change their data.
 func (de *Detector) Notes() map[string]Note {
@@ -235,6 +244,10 @@
 // Version grows with each change of what Members, Counts or Notes return.
 func (de *Detector) Version() uint64 { return de.table.version + de.table.shape }
 
+// Refutations returns how often the node had to refute that it is suspected or
+// dead. A node that was dead to others may hold outdated configuration.
+func (de *Detector) Refutations() uint64 { return de.refutations }
+
 // Digest returns a hash that is equal for nodes that know the same members,
 // apart from dead and left ones, and the same notes.
 func (de *Detector) Digest() uint64 { return de.table.digest() }
@@ -252,12 +265,16 @@
 // Merge takes in records of members and notes that a peer sent.
 func (de *Detector) Merge(members []Member, notes []Note, from checker.NodeID, now time.Time) {
 	for _, me := range members {
-		if me.check() == nil {
-			de.mergeOne(me, from, now)
+		if me.Check() != nil {
+			continue
+		}
+		de.mergeOne(me, from, now)
+		if en := de.table.entries[me.Node]; en != nil && en.Member == me {
+			en.known |= de.bit(from)
 		}
 	}
 	for _, no := range notes {
-		de.table.setNote(no, from)
+		de.table.setNote(no, de.bit(from))
 	}
 }
 
@@ -271,15 +288,59 @@
 		// A dead member that this node has never known or already forgotten
 		// is no news; remembering it anew would keep it going round forever.
 		if me.State < Dead && len(de.table.entries) < maxMembers {
-			de.store(me, from, now)
+			de.store(me, now)
 		}
 		return
 	}
 	if me.State == Dead && known.State < Dead {
+		if de.returned(from, now) {
+			de.doubt(me, known, now)
+			return
+		}
 		me.State = Suspect // the node's own timer decides
 	}
 	if me.supersedes(known.Member) {
-		de.store(me, from, now)
+		de.store(me, now)
+	}
+}
+
+// returned reports whether the peer was dead or unknown until lately, as it is
+// when a partition has healed.
+func (de *Detector) returned(peer checker.NodeID, now time.Time) bool {
+	en := de.table.entries[peer]
+	return en == nil || en.state() >= Dead || now.Sub(en.revived) < returnTime
+}
+
+// doubt takes in that a peer from the other side of a healed partition holds a
+// member for dead which this node does not. It tells the member, which refutes
+// it if it can, and decides by its own timer. The suspicion is not spread,
+// because it would concern every member of the peer's other side.
+func (de *Detector) doubt(me Member, known *entry, now time.Time) {
+	if me.Incarnation < known.Incarnation {
+		return
+	}
+	if me.Incarnation > known.Incarnation {
+		me.State = Alive
+		de.store(me, now)
+	}
+	if known.State == Alive && !known.doubted {
+		known.doubted = true
+		known.local, known.since = Suspect, now
+		de.table.shape++
+		de.suspects[me.Node] = now
+		de.doubts = append(de.doubts, me.Node)
+	}
+}
+
+// tell pings some of the members that others hold for dead. The pings carry
+// the death.
+func (de *Detector) tell(now time.Time) {
+	for range min(len(de.doubts), tellLimit) {
+		node := de.doubts[0]
+		de.doubts = de.doubts[1:]
+		if en := de.table.entries[node]; en != nil && en.doubted {
+			de.queue = append(de.queue, de.Probe(node, now))
+		}
 	}
 }
 
@@ -289,12 +350,15 @@
 	if heard.Incarnation < self.Incarnation || heard == self || self.State == Left {
 		return
 	}
+	if heard.State == Suspect || heard.State == Dead {
+		de.refutations++
+	}
 	self.Incarnation = self.Incarnation.above(heard.Incarnation)
 	de.setSelf(self, now)
 }
 
 // store puts a record about another member into the table.
-func (de *Detector) store(me Member, from checker.NodeID, now time.Time) {
+func (de *Detector) store(me Member, now time.Time) {
 	if known := de.table.entries[me.Node]; known != nil {
 		ok := asserter.That(me.Incarnation >= known.Incarnation, "incarnationNeverDecreases",
 			"%v: %v goes from incarnation %d to %d", de.node, me.Node, known.Incarnation,
@@ -303,13 +367,13 @@
 			return
 		}
 		if known.Incarnation.Life() != me.Incarnation.Life() {
-			delete(de.peers, me.Node)
+			de.dropPeer(me.Node)
 		}
 	}
-	de.table.set(me, from, now)
+	de.table.set(me, 0, now)
 	if me.State == Suspect {
 		de.suspects[me.Node] = now
-	} else {
+	} else if !de.table.entries[me.Node].doubted {
 		delete(de.suspects, me.Node)
 	}
 }
@@ -325,13 +389,13 @@
 		if en == nil || en.state() != Suspect {
 			continue
 		}
-		if en.local == Suspect {
+		if en.local == Suspect && !en.doubted {
 			de.setLocal(en, Dead, now)
 			continue
 		}
 		me := en.Member
 		me.State = Dead
-		de.store(me, de.node, now)
+		de.store(me, now)
 	}
 }
 
@@ -354,12 +418,12 @@
 	for node, en := range de.table.entries {
 		if en.State >= Dead && node != de.node && now.Sub(en.since) >= de.config.DeadTime {
 			de.table.remove(node)
-			delete(de.peers, node)
+			de.dropPeer(node)
 		}
 	}
 	for node, pe := range de.peers {
 		if now.Sub(pe.lastUsed) >= peerTime {
-			delete(de.peers, node)
+			de.dropPeer(node)
 		}
 	}
 }
--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -72,6 +72,7 @@
 			de.Merge([]Member{heard}, nil, testNode(1), epoch)
 			require.Equal(t, tt.want, de.Self().Incarnation)
 			require.Equal(t, Alive, de.Self().State)
+			require.Equal(t, heard.State == Suspect || heard.State == Dead, de.Refutations() == 1)
 		})
 	}
 }
--- a/internal/detector/member.go
+++ b/internal/detector/member.go
@@ -96,8 +96,8 @@
 
 var errMember = errors.New("malformed member")
 
-// check refuses records that no node would send.
-func (me Member) check() error {
+// Check refuses records that no node would send; peers drop them.
+func (me Member) Check() error {
 	switch {
 	case !me.Node.IsValid() || me.Node.Port() == 0 || me.Node.Addr().Zone() != "":
 		return fmt.Errorf("%w: address %v", errMember, me.Node)
@@ -236,7 +236,7 @@
 	me.State, me.Draining = State(flags[0]>>1), flags[0]&1 == 1
 	me.DataCentre, me.Region = checker.DataCentre(text[0]), checker.Region(text[1])
 	me.Service, me.Version = checker.Service(text[2]), checker.Version(text[3])
-	return me, me.check()
+	return me, me.Check()
 }
 
 // reader reads fields until one is malformed.
--- a/internal/detector/probe.go
+++ b/internal/detector/probe.go
@@ -59,6 +59,8 @@
 	// introduced says that the peer has been sent this node's own record.
 	introduced bool
 	lastUsed   time.Time
+	// bit marks the records that the peer has sent; zero if all are taken.
+	bit uint64
 
 	busy      bool
 	lastPing  time.Time
@@ -77,12 +79,41 @@
 		pe = &peer{sent: de.table.version}
 		if len(de.peers) < maxMembers {
 			de.peers[node] = pe
+			pe.bit = ^de.bits & (de.bits + 1)
+			de.bits |= pe.bit
 		}
 	}
 	pe.lastUsed = now
 	return pe
 }
 
+// bit returns the bit of the peer, zero if it has none.
+func (de *Detector) bit(node checker.NodeID) uint64 {
+	if pe := de.peers[node]; pe != nil {
+		return pe.bit
+	}
+	return 0
+}
+
+// dropPeer forgets a peer and frees its bit.
+func (de *Detector) dropPeer(node checker.NodeID) {
+	pe := de.peers[node]
+	if pe == nil {
+		return
+	}
+	delete(de.peers, node)
+	if pe.bit == 0 {
+		return
+	}
+	de.bits &^= pe.bit
+	for _, en := range de.table.list {
+		en.known &^= pe.bit
+	}
+	for _, no := range de.table.notes {
+		no.known &^= pe.bit
+	}
+}
+
 // Tick returns what is to be done now. The shell calls it at least every
 // 100 ms, and at once after a result.
 func (de *Detector) Tick(now time.Time) []Action {
@@ -97,6 +128,7 @@
 		de.nextSweep = now.Add(time.Second)
 	}
 	de.probe(now)
+	de.tell(now)
 	de.schedule(now)
 	actions := de.queue
 	de.queue = nil
@@ -127,7 +159,7 @@
 		if pe.busy || since < de.config.UrgentTime {
 			continue
 		}
-		if since >= de.config.ProbeTime || de.table.hasChanges(pe.sent, node) {
+		if since >= de.config.ProbeTime || de.table.hasChanges(pe.sent, pe.bit) {
 			pe.busy, pe.lastPing = true, now
 			de.queue = append(de.queue, de.ping(node, pe, now))
 		}
@@ -143,14 +175,18 @@
 // message returns a message to the peer with the changes it has not been sent.
 func (de *Detector) message(node checker.NodeID, pe *peer) Message {
 	ms := Message{From: de.node, Incarnation: de.self().Incarnation, Digest: de.Digest()}
-	ms.Members, ms.Notes, pe.sent = de.table.changes(pe.sent, node, messageLimit)
+	ms.Members, ms.Notes, pe.sent = de.table.changes(pe.sent, pe.bit, messageLimit)
 	if !pe.introduced {
 		ms.Members = append(ms.Members, de.Self())
 		pe.introduced = true
 	}
 	// A peer that is taken for dead or suspected must hear it to refute it.
-	if en := de.table.entries[node]; en != nil && en.State >= Suspect {
-		ms.Members = append(ms.Members, en.Member)
+	if en := de.table.entries[node]; en != nil && (en.State >= Suspect || en.doubted) {
+		me := en.Member
+		if en.doubted {
+			me.State = Dead
+		}
+		ms.Members = append(ms.Members, me)
 	}
 	return ms
 }
@@ -196,7 +232,7 @@
 		pe.reset()
 	}
 	for _, en := range de.table.list {
-		if en.local != Alive {
+		if en.local != Alive && !en.doubted {
 			de.setLocal(en, Alive, now)
 			delete(de.suspects, en.Node)
 		}
@@ -369,5 +405,5 @@
 	}
 	me := en.Member
 	me.State = Suspect
-	de.store(me, de.node, now)
+	de.store(me, now)
 }
--- a/internal/detector/table.go
+++ b/internal/detector/table.go
@@ -58,6 +58,8 @@
 	// local is a verdict that is not spread, because the node made it while
 	// it had no contact with any other node.
 	local State
+	// doubted says that local stems from the verdict of others.
+	doubted bool
 	// hashed is the entry's part of the digest; zero if it is not in it.
 	hashed uint64
 	bucket int
@@ -65,10 +67,12 @@
 	index int
 	// version is the table's version when the record last changed.
 	version uint64
-	// source is the peer the last change came from.
-	source checker.NodeID
+	// known has the bits of the peers that sent this record.
+	known uint64
 	// since is when the state was entered.
 	since time.Time
+	// revived is when the member was last heard to be alive after its death.
+	revived time.Time
 	// places holds the entry's position on each ring.
 	places [ringCount]uint64
 }
@@ -79,7 +83,7 @@
 type note struct {
 	Note
 	version uint64
-	source  checker.NodeID
+	known   uint64
 }
 
 // table holds the members and notes with their digest.
@@ -104,7 +108,7 @@
 
 // set stores a record and updates the digest. Dead and left members are not in
 // the digest, because nodes forget them at different times.
-func (ta *table) set(me Member, source checker.NodeID, now time.Time) *entry {
+func (ta *table) set(me Member, known uint64, now time.Time) *entry {
 	en := ta.entries[me.Node]
 	if en == nil {
 		en = newEntry(me.Node)
@@ -115,13 +119,17 @@
 	if en.State != me.State || en.Incarnation != me.Incarnation || en.version == 0 {
 		en.since = now
 	}
-	if en.Incarnation != me.Incarnation && en.local != Alive {
-		en.local = Alive
+	settled := en.Incarnation != me.Incarnation || me.State != Alive
+	if settled && en.local != Alive {
+		en.local, en.doubted = Alive, false
 		ta.shape++
 	}
 	if en.version == 0 || en.State != me.State || en.DataCentre != me.DataCentre {
 		ta.shape++
 	}
+	if en.State == Dead && me.State < Dead {
+		en.revived = now
+	}
 	ta.unhash(en)
 	en.Member = me
 	if me.State < Dead {
@@ -130,7 +138,7 @@
 	ta.root ^= en.hashed
 	ta.buckets[en.bucket] ^= en.hashed
 	ta.version++
-	en.version, en.source = ta.version, source
+	en.version, en.known = ta.version, known
 	return en
 }
 
@@ -162,8 +170,9 @@
 	ta.shape++
 }
 
-// setNote stores a note if it supersedes the known one.
-func (ta *table) setNote(no Note, source checker.NodeID) bool {
+// setNote stores a note if it supersedes the known one. The bits are those of
+// the peer it came from.
+func (ta *table) setNote(no Note, from uint64) bool {
 	known := ta.notes[no.Key]
 	switch {
 	case !no.ok():
@@ -174,13 +183,16 @@
 		known = &note{}
 		ta.notes[no.Key] = known
 	case !no.supersedes(known.Note):
+		if no.Epoch == known.Epoch && bytes.Equal(no.Data, known.Data) {
+			known.known |= from
+		}
 		return false
 	default:
 		ta.noteHash ^= known.hash()
 	}
 	ta.noteHash ^= no.hash()
 	ta.version++
-	*known = note{Note: no, version: ta.version, source: source}
+	*known = note{Note: no, version: ta.version, known: from}
 	return true
 }
 
@@ -188,17 +200,17 @@
 func (ta *table) digest() uint64 { return ta.root ^ ta.noteHash }
 
 // hasChanges reports whether changes would return any.
-func (ta *table) hasChanges(after uint64, peer checker.NodeID) bool {
+func (ta *table) hasChanges(after, peer uint64) bool {
 	if after >= ta.version {
 		return false
 	}
 	for _, en := range ta.list {
-		if en.version > after && en.source != peer {
+		if en.version > after && en.known&peer == 0 {
 			return true
 		}
 	}
 	for _, no := range ta.notes {
-		if no.version > after && no.source != peer {
+		if no.version > after && no.known&peer == 0 {
 			return true
 		}
 	}
@@ -213,21 +225,21 @@
 }
 
 // changes returns the members and notes that changed after the version, except
-// those that came from the peer, oldest first, and the version they reach to.
+// those that the peer with the bit has sent itself, oldest first, and the version they reach to.
 func (ta *table) changes(
-	after uint64, peer checker.NodeID, limit int,
+	after, peer uint64, limit int,
 ) ([]Member, []Note, uint64) {
 	if after >= ta.version {
 		return nil, nil, ta.version
 	}
 	var list []change
 	for _, en := range ta.list {
-		if en.version > after && en.source != peer {
+		if en.version > after && en.known&peer == 0 {
 			list = append(list, change{version: en.version, entry: en})
 		}
 	}
 	for _, no := range ta.notes {
-		if no.version > after && no.source != peer {
+		if no.version > after && no.known&peer == 0 {
 			list = append(list, change{version: no.version, note: no})
 		}
 	}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -271,6 +271,14 @@
 	return gs.detector.Self()
 }
 
+// Refutations returns how often the node had to refute that it is suspected or
+// dead.
+func (gs *Gossiper) Refutations() uint64 {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	return gs.detector.Refutations()
+}
+
 // Counts returns how many members each data centre has.
 func (gs *Gossiper) Counts() map[checker.DataCentre]detector.Count {
 	gs.mu.Lock()
