Add the demonstration, and let a profile say when a target is warm

Cause: the README's first command did not exist; and the rollout of a new version with little traffic waited 30 s because its targets counted as cold until their limit had grown, which needs demand. Before: the demonstration's good version was taken back at its deadline of 15 s (12 calls, all on cold targets). Also found: a cancelled load generator sent a burst of 256 calls and more at once, 390 of which were refused; it now stops where it is. Conclusion: warm-up is the operator's knowledge; the default stays 30 s.

--- a/cmd/guavastall/main.go
+++ b/cmd/guavastall/main.go
@@ -40,6 +40,7 @@
 	Status     *statusCmd     `arg:"subcommand:status" help:"show the status of a node or the mesh"`
 	DataCentre *dataCentreCmd `arg:"subcommand:datacentre" help:"take a data centre out or in"`
 	Drain      *drainCmd      `arg:"subcommand:drain" help:"stop a node gracefully"`
+	Demo       *demoCmd       `arg:"subcommand:demo" help:"run a small deployment in one process and check it"`
 	Version    *versionCmd    `arg:"subcommand:version" help:"print the version"`
 }
 
--- /dev/null
+++ b/internal/demonstrator/steps.go
@@ -0,0 +1,207 @@
+package demonstrator
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/guavastall/guavastall/internal/targetserver"
+	"github.com/guavastall/guavastall/pkg/checker"
+	"github.com/guavastall/guavastall/pkg/operator"
+)
+
+const (
+	// goodDeadline is the deadline of the good version's move.
+	goodDeadline = 15 * time.Second
+	// badLimit bounds the time until the bad version is taken back.
+	badLimit = 10 * time.Second
+	// outLimit is the time after which a data centre that is out gets no work.
+	outLimit = 2 * time.Second
+	// maxBadShare bounds the share of calls that the bad version gets.
+	maxBadShare = 0.01
+)
+
+// document returns the configuration of the demonstration. Its steps are short,
+// so that the demonstration ends soon.
+func document() *checker.Document {
+	return &checker.Document{
+		Profiles: map[string]checker.Profile{"quick": {
+			Routing: checker.Routing{LocalShare: 0.8, HealthyFloor: 0.5, Hedge: true},
+			Rollout: checker.Rollout{
+				Steps:            []float64{0.02, 0.2, 1},
+				StepTime:         checker.Duration(time.Second),
+				MinCalls:         4,
+				MaxErrorIncrease: 0.02, MaxLatencyFactor: 2,
+				QuietAfter: checker.Duration(time.Minute),
+			},
+			Limits: checker.Limits{
+				InitialConcurrency: 2, MaxBodyBytes: 1 << 20,
+				QueueTime: checker.Duration(50 * time.Millisecond),
+				WarmTime:  checker.Duration(time.Second),
+			},
+			Retries: checker.Retries{BudgetRatio: 0.1, MaxAttempts: 3},
+			DataCentres: checker.DataCentres{
+				ReturnTime: checker.Duration(3 * time.Second), Spill: true,
+			},
+		}},
+		Services: map[checker.Service]checker.Choice{service: {
+			Profile: "quick", Version: "v1",
+			Routes: []checker.Route{{
+				Name: "scan", PathPrefix: "/", Idempotent: true,
+				Timeout: checker.Duration(time.Second),
+			}},
+		}},
+	}
+}
+
+// move starts targets of the version in each data centre and chooses it.
+func (de *Demonstrator) move(
+	ctx context.Context, version checker.Version, deadline time.Duration,
+	faults ...targetserver.Fault,
+) (checker.MoveID, []*member, error) {
+	var started []*member
+	for _, dc := range centres {
+		mb, err := de.add(dc, version)
+		if err != nil {
+			return 0, nil, err
+		}
+		se := mb.target.Settings()
+		se.Faults = faults
+		if err := mb.target.Set(se); err != nil {
+			return 0, nil, err
+		}
+		started = append(started, mb)
+	}
+	if err := de.settle(ctx); err != nil {
+		return 0, nil, err
+	}
+	cl := de.members[0].operator
+	conf, err := cl.Configuration(ctx)
+	if err != nil {
+		return 0, nil, err
+	}
+	ac, err := cl.Choose(ctx, operator.Choice{
+		ID: uuid.NewString(), Base: conf.Revision, Service: service,
+		Version: version, Deadline: time.Now().Add(deadline),
+	})
+	return ac.Move, started, err
+}
+
+// phase waits until the move has ended and returns it.
+func (de *Demonstrator) phase(
+	ctx context.Context, id checker.MoveID, limit time.Duration,
+) operator.Move {
+	var last operator.Move
+	_ = de.await(ctx, limit, "the move did not end", func() bool {
+		list, err := de.members[0].operator.Moves(ctx)
+		if err != nil {
+			return false
+		}
+		for _, mo := range list {
+			if mo.ID == id {
+				last = mo
+			}
+		}
+		return last.Phase != "" && last.Phase != "pending"
+	})
+	return last
+}
+
+// rollOut rolls out a good version.
+func (de *Demonstrator) rollOut(ctx context.Context) error {
+	begun := time.Now()
+	id, _, err := de.move(ctx, "v2", goodDeadline)
+	if err != nil {
+		return err
+	}
+	de.say("started the move to v2, a good version, due in %v", goodDeadline)
+	mo := de.phase(ctx, id, goodDeadline)
+	de.check(mo.Phase == "done", "v2 is %s after %v %s", mo.Phase,
+		time.Since(begun).Round(time.Millisecond), mo.Reason)
+	return nil
+}
+
+// takeBack starts the move to a version that answers every call with an error.
+func (de *Demonstrator) takeBack(ctx context.Context) error {
+	total := de.calls()
+	begun := time.Now()
+	id, bad, err := de.move(ctx, "v3", goodDeadline, targetserver.Fault{
+		Kind: targetserver.FaultError,
+	})
+	if err != nil {
+		return err
+	}
+	de.say("started the move to v3, which answers every call with an error")
+	mo := de.phase(ctx, id, badLimit)
+	de.check(mo.Phase == "takenBack", "v3 is %s after %v: %s", mo.Phase,
+		time.Since(begun).Round(time.Millisecond), mo.Reason)
+	exposed := uint64(0)
+	for _, mb := range bad {
+		exposed += mb.target.Calls()
+	}
+	all := de.calls() - total
+	de.check(float64(exposed) < maxBadShare*float64(max(all, callRate)),
+		"v3 got %d of about %d calls", exposed, all)
+	return nil
+}
+
+// calls returns the number of calls that the targets ran.
+func (de *Demonstrator) calls() uint64 {
+	var sum uint64
+	for _, mb := range de.members {
+		sum += mb.target.Calls()
+	}
+	return sum
+}
+
+// callsIn returns the number of calls that a data centre's targets ran.
+func (de *Demonstrator) callsIn(dc checker.DataCentre) uint64 {
+	var sum uint64
+	for _, mb := range de.members {
+		if mb.dc == dc {
+			sum += mb.target.Calls()
+		}
+	}
+	return sum
+}
+
+// moveDataCentre takes a data centre out and in again.
+func (de *Demonstrator) moveDataCentre(ctx context.Context) error {
+	dc := centres[1]
+	cl := de.members[0].operator
+	if _, err := cl.SetDataCentre(ctx, dc, true); err != nil {
+		return err
+	}
+	de.say("took %s out", dc)
+	if !sleep(ctx, outLimit) {
+		return ctx.Err()
+	}
+	before := de.callsIn(dc)
+	if !sleep(ctx, outLimit) {
+		return ctx.Err()
+	}
+	de.check(de.callsIn(dc) == before, "%s got %d calls between %v and %v after it was taken out",
+		dc, de.callsIn(dc)-before, outLimit, 2*outLimit)
+	if _, err := cl.SetDataCentre(ctx, dc, false); err != nil {
+		return err
+	}
+	if !sleep(ctx, outLimit) {
+		return ctx.Err()
+	}
+	de.check(de.callsIn(dc) > before, "%s is back and got %d calls in %v", dc,
+		de.callsIn(dc)-before, outLimit)
+	return nil
+}
+
+// sleep waits and reports whether the context is still open.
+func sleep(ctx context.Context, span time.Duration) bool {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/limiter/admit.go
+++ b/internal/limiter/admit.go
@@ -29,6 +29,7 @@
 	li := &Limiter{hard: hard, config: cf}
 	li.initial = float64(min(max(cf.Initial, 1), hard))
 	li.bound = float64(hard)
+	li.warmTime = cf.warmTime()
 	li.trust = 1
 	li.reset(0)
 	return li
--- a/internal/limiter/control.go
+++ b/internal/limiter/control.go
@@ -46,9 +46,8 @@
 	// latency is proportional to its load.
 	trialShrinks = 2
 	trialGain    = 0.8
-	// warmTime is the time after which a target without signs of overload no
-	// longer counts as cold, whatever its limit.
-	warmTime = 30 * time.Second
+	// defaultWarmTime is the default of Config.WarmTime.
+	defaultWarmTime = 30 * time.Second
 	// probeSamples is the number of results of a probe at half the limit,
 	// probeGain the ratio of latencies below which the load was the cause.
 	probeSamples = 8
@@ -73,6 +72,7 @@
 // control adapts the limit.
 type control struct {
 	initial, bound float64
+	warmTime       time.Duration
 	limit          float64
 	cold           bool
 	coldSince      time.Time
@@ -127,7 +127,8 @@
 // reset returns to the state of a freshly started target.
 func (co *control) reset(inFlight int) {
 	*co = control{
-		initial: co.initial, bound: co.bound, limit: co.initial, cold: true,
+		initial: co.initial, bound: co.bound, warmTime: co.warmTime,
+		limit: co.initial, cold: true,
 		hold: holdTime, routes: map[string]*reference{}, ignore: inFlight,
 		typical: co.typical, failures: -1, trust: co.trust, probedAt: co.probedAt,
 	}
@@ -262,7 +263,7 @@
 	if co.coldSince.IsZero() {
 		co.coldSince = now
 	}
-	quiet := now.Sub(co.coldSince) >= warmTime && now.Sub(co.overloadAt) >= warmTime/2
+	quiet := now.Sub(co.coldSince) >= co.warmTime && now.Sub(co.overloadAt) >= co.warmTime/2
 	co.cold = co.limit < co.bound/2 && !quiet
 }
 
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -19,6 +19,9 @@
 	Initial int
 	// Max bounds the concurrency of a warm target; zero means Slots.
 	Max int
+	// WarmTime is the time after which a target without signs of overload no
+	// longer counts as cold; zero means 30 s.
+	WarmTime time.Duration
 	// QueueTime is the longest wait for a free slot; zero means no queue.
 	QueueTime time.Duration
 }
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -193,6 +193,7 @@
 			select {
 			case <-timer.C:
 			case <-ctx.Done():
+				return
 			}
 		}
 		lo.report.Due++
--- a/internal/runner/table.go
+++ b/internal/runner/table.go
@@ -168,6 +168,7 @@
 	}
 	li := doc.Profiles[co.Profile].Limits
 	cf.Initial, cf.Max = li.InitialConcurrency, li.MaxConcurrency
+	cf.WarmTime = time.Duration(li.WarmTime)
 	cf.QueueTime = time.Duration(li.QueueTime)
 	return cf
 }
--- a/pkg/checker/checker.go
+++ b/pkg/checker/checker.go
@@ -122,6 +122,9 @@
 type Limits struct {
 	// InitialConcurrency is the concurrency granted to a freshly started target.
 	InitialConcurrency int `json:"initialConcurrency"`
+	// WarmTime is the time after which a freshly started target without signs
+	// of overload no longer counts as cold; zero means 30 s.
+	WarmTime Duration `json:"warmTime,omitempty"`
 	// MaxConcurrency bounds the concurrency of a warm target; zero means its slots.
 	MaxConcurrency int `json:"maxConcurrency,omitempty"`
 	// QueueTime is the longest wait for a free slot at the target's node.
--- a/pkg/checker/decode.go
+++ b/pkg/checker/decode.go
@@ -199,6 +199,7 @@
 	ch.count(field+".limits.initialConcurrency",
 		int64(pr.Limits.InitialConcurrency), 1, maxConcurrency)
 	ch.count(field+".limits.maxConcurrency", int64(pr.Limits.MaxConcurrency), 0, maxConcurrency)
+	ch.duration(field+".limits.warmTime", pr.Limits.WarmTime, 0, maxStepTime)
 	ch.duration(field+".limits.queueTime", pr.Limits.QueueTime, 0, maxTimeout)
 	ch.count(field+".limits.maxBodyBytes", pr.Limits.MaxBodyBytes, 1, maxBodyBytes)
 	ch.share(field+".retries.budgetRatio", pr.Retries.BudgetRatio)
