Test that a farewell is noticed

Cause: with the farewell's notice switched off, the test of a planned stop under load still passed; the crossing is too rare to be caught by load alone.

--- a/internal/forwarder/drain_test.go
+++ b/internal/forwarder/drain_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -88,6 +89,43 @@
 	require.Equal(t, int64(1), ran.Load())
 }
 
+// Guards against a call that crossed a farewell being reported unknown because
+// http.Transport read the farewell before it knew of the call.
+func TestFarewellIsNoticed(t *testing.T) {
+	near, far := net.Pipe()
+	co := &conn{Conn: near}
+	send := func(text string) {
+		go func() { _, _ = io.WriteString(far, text) }()
+		_, err := io.ReadAtLeast(co, make([]byte, len(text)), len(text))
+		require.NoError(t, err)
+	}
+	send(string(farewellText))
+	require.False(t, co.farewell.Load(), "the text inside a response is no farewell")
+	wa := watch{}
+	wa.gotConn(httptrace.GotConnInfo{Conn: co})
+	send("HTTP/1.1 200 OK\r\n")
+	send(string(farewellText))
+	require.False(t, wa.left())
+	wa.read()
+	send(string(farewellText))
+	require.True(t, wa.left())
+
+	peer := rawServer(t, func(nc net.Conn, _ int) { _, _ = nc.Read(make([]byte, 1)) })
+	first := startNode(t, options{})
+	first.setTable(nil, peer)
+	post(t, first.caller, "/confirm", "a", nil).requireError(t, answerer.OutcomeUnknown, "unknown")
+	po := first.fw.peer(peer)
+	dial := po.DialContext
+	po.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		nc, err := dial(ctx, network, address)
+		if err == nil {
+			nc.(*conn).farewell.Store(true)
+		}
+		return nc, err
+	}
+	post(t, first.caller, "/confirm", "a", nil).requireError(t, answerer.Draining, "notRun")
+}
+
 // workers make calls until they are stopped. Each keeps one connection.
 type workers struct {
 	t       *testing.T
--- a/internal/forwarder/first.go
+++ b/internal/forwarder/first.go
@@ -210,7 +210,7 @@
 	ob := Observation{
 		Service: jo.plan.Service, Route: jo.plan.Route.Name, Move: jo.plan.Move,
 		Version: rp.endpoint.Version, Outcome: rp.outcome, Cold: rp.report.Cold,
-		NoEvidence: en == blameless, Latency: latency,
+		Cancelled: en == blameless, Latency: latency,
 	}
 	switch en {
 	case complete:
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -94,9 +94,9 @@
 	Failed bool
 	// Cold says that the target was warming up.
 	Cold bool
-	// NoEvidence says that the end has nothing to do with the target: the
-	// caller left, or the call itself was at fault.
-	NoEvidence bool
+	// Cancelled says that the attempt is no evidence: its end has nothing to
+	// do with the target, as when the caller left or the call was at fault.
+	Cancelled bool
 	// Latency is the time from the start of the attempt to its end.
 	Latency time.Duration
 }
--- a/internal/forwarder/guard_test.go
+++ b/internal/forwarder/guard_test.go
@@ -273,7 +273,7 @@
 	require.Less(t, time.Since(began), 1500*time.Millisecond, "the deadline ended the call instead")
 	eventually(t, func() bool { return last.limiter.InFlight() == 0 }, "the slot is free")
 	eventually(t, func() bool { return len(first.observer.list()) == 1 }, "one observation")
-	require.True(t, first.observer.list()[0].NoEvidence)
+	require.True(t, first.observer.list()[0].Cancelled)
 }
 
 // Guards against a call without a response 100 ms after its deadline, when the
