Count requests rather than turns in the budget for log reads

Cause: a turn at the log takes one to three requests, so a restart of 750 nodes that each know only themselves peaked at 663 requests in a second; each of them also appended an announcement before anybody could have read it. A node without peers now goes on looking; TestLoneNodesFindEachOther fails without that. Conclusion: the last nodes become fresh later in the extreme case; with seeds or announcements in the log peers answer first.

--- a/internal/distributor/distributor.go
+++ b/internal/distributor/distributor.go
@@ -182,11 +182,13 @@
 	found []checker.NodeID
 	stats Stats
 
-	// elect, rnd and gapAt belong to the goroutine that reads the log.
+	// elect, rnd, gapAt and lookedAt belong to the goroutine that reads the log.
 	elect *elector.Reader
 	rnd   *rand.Rand
 	// gapAt is when the node may pass over a gap in the log; zero if there is none.
 	gapAt time.Time
+	// lookedAt is when the announcements were last read.
+	lookedAt time.Time
 	// reading says that this node is a reader and its last read succeeded.
 	reading atomic.Bool
 }
--- a/internal/distributor/read.go
+++ b/internal/distributor/read.go
@@ -38,8 +38,10 @@
 			sleep(ctx, wait)
 			continue
 		}
-		ds.elect.Sent(ds.config.Now())
+		started := ds.config.Now()
+		before := ds.Stats().LogRequests
 		err := ds.readTurn(ctx, turn)
+		ds.elect.Sent(int(ds.Stats().LogRequests-before), started)
 		turn++
 		ds.reading.Store(err == nil)
 		if err == nil {
@@ -74,8 +76,7 @@
 // readTurn uses one turn at the log. A node without any peer alternates
 // between finding peers and reading the configuration.
 func (ds *Distributor) readTurn(ctx context.Context, turn int) error {
-	co := ds.contact()
-	if ds.Stale() && co.Answered == 0 && turn%2 == 0 {
+	if ds.contact().Answered == 0 && ds.looksForPeers(turn) {
 		return ds.findPeers(ctx)
 	}
 	next := ds.next()
@@ -94,6 +95,16 @@
 	return err
 }
 
+// looksForPeers reports whether a node without any peer uses this turn to find
+// some. Once it has read the configuration it does so now and then: it may
+// have started before anybody announced itself.
+func (ds *Distributor) looksForPeers(turn int) bool {
+	if ds.Stale() {
+		return turn%2 == 0
+	}
+	return ds.config.Now().Sub(ds.lookedAt) >= ds.config.AnnounceEvery/6
+}
+
 // next returns the offset of the next record that this node lacks.
 func (ds *Distributor) next() uint64 {
 	ds.mu.Lock()
--- a/internal/distributor/upkeep.go
+++ b/internal/distributor/upkeep.go
@@ -27,6 +27,9 @@
 	// factDelay is the greatest random time before a reader appends facts. The
 	// readers are 18 at the design size; the first spares the others the work.
 	factDelay = 2 * time.Second
+	// maxLookDelay bounds the random time before a reader looks for the newest
+	// checkpoint.
+	maxLookDelay = 30 * time.Second
 )
 
 // announcement holds addresses of live nodes.
@@ -68,6 +71,9 @@
 	saved   uint64
 	savedAt time.Time
 	known   bool
+	// lookAt is when it is looked up; readers that start together do not all
+	// look at once, because the first of them may write it.
+	lookAt time.Time
 }
 
 // upkeep appends announcements, facts and checkpoints while this node reads.
@@ -78,7 +84,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, ds.config.Tick)
 		if !ds.Reading() || ctx.Err() != nil {
-			ch.known = false
+			ch.known, ch.lookAt = false, time.Time{}
 			continue
 		}
 		for _, fn := range []func(context.Context) error{ch.announce, ch.logFacts, ch.checkpoint} {
@@ -101,10 +107,18 @@
 // announce appends addresses of live nodes now and then.
 func (ch *chores) announce(ctx context.Context) error {
 	now := ch.ds.config.Now()
+	every := ch.ds.config.AnnounceEvery
+	if ch.ds.contact().Answered == 0 {
+		// Without peers, others must find this node soon.
+		every /= 6
+		if soon := now.Add(every); soon.Before(ch.announceAt) {
+			ch.announceAt = now.Add(rand.N(every))
+		}
+	}
 	if now.Before(ch.announceAt) {
 		return nil
 	}
-	ch.announceAt = now.Add(ch.ds.config.AnnounceEvery)
+	ch.announceAt = now.Add(every)
 	return ch.ds.announce(ctx)
 }
 
@@ -131,9 +145,9 @@
 	return nil
 }
 
-// findPeers reads the announcements. If they name no other node, this one
-// announces itself so that others find it.
+// findPeers reads the announcements.
 func (ds *Distributor) findPeers(ctx context.Context) error {
+	ds.lookedAt = ds.config.Now()
 	ds.count(func(st *Stats) { st.LogRequests += 2 })
 	list, err := ds.config.Log.Last(ctx, AnnouncementStream, announcementsRead)
 	if err != nil {
@@ -157,7 +171,7 @@
 	ds.rnd.Shuffle(len(found), func(ii, jj int) { found[ii], found[jj] = found[jj], found[ii] })
 	ds.config.Logger.WithField("found", len(found)).Info("announcements are read")
 	ds.useFound(found)
-	return ds.announce(ctx)
+	return nil
 }
 
 // logFacts appends the facts that the log does not hold yet.
@@ -194,7 +208,11 @@
 	if ch.ds.Stale() || ch.ds.Behind() || ch.ds.State().Next() == 0 {
 		return nil
 	}
-	if ch.known && !ch.due(ch.ds.State()) {
+	now := ch.ds.config.Now()
+	if ch.lookAt.IsZero() {
+		ch.lookAt = now.Add(rand.N(min(maxLookDelay, ch.ds.config.Retention/8) + 1))
+	}
+	if now.Before(ch.lookAt) || ch.known && !ch.due(ch.ds.State()) {
 		return nil
 	}
 	if err := ch.lookUp(ctx); err != nil {
--- a/internal/elector/reader.go
+++ b/internal/elector/reader.go
@@ -15,8 +15,8 @@
 	// covers the seconds until the loss of the first is detected.
 	DefaultReaders = 2
 	// DefaultBudget is the number of log requests per second and data centre.
-	// Nine data centres at 20 stay well below several hundred.
-	DefaultBudget = 20
+	// Nine data centres at 30 send 270, with peaks of about 330.
+	DefaultBudget = 30
 	// DefaultExpected is the number of nodes in a data centre that a node
 	// assumes right after its start; 750 nodes in 9 data centres are 84.
 	DefaultExpected = 100
@@ -35,9 +35,13 @@
 	// readers do not get through. Without a bound all nodes would read when a
 	// log outage ends.
 	substitutes = 4
-	// aloneInterval bounds the request rate of a node that knows no other
-	// node: 750 such nodes send 250 requests a second.
-	aloneInterval = 3 * time.Second
+	// aloneRate bounds the requests per second of all nodes of a data centre
+	// that each know no other one, however long that lasts: 25 in each of nine
+	// data centres are 225.
+	aloneRate = 25
+	// firstRequests is the number of requests in a node's first turn, over
+	// which nodes that start together are spread.
+	firstRequests = 2
 )
 
 // Member is a node that is believed to be alive.
@@ -99,13 +103,14 @@
 	rnd     *rand.Rand
 	started time.Time
 	last    time.Time
-	jitter  float64
+	// spent is the number of requests in the last turn, with jitter.
+	spent float64
 }
 
 // NewReader returns the decision for a node that started at the given time.
 func NewReader(cf Config, rnd *rand.Rand, started time.Time) *Reader {
 	cf.setDefaults()
-	return &Reader{config: cf, rnd: rnd, started: started, jitter: rnd.Float64()}
+	return &Reader{config: cf, rnd: rnd, started: started, spent: firstRequests * rnd.Float64()}
 }
 
 // View is what a node knows when it decides.
@@ -125,11 +130,11 @@
 type Decision struct {
 	// Read says that the node is a reader.
 	Read bool
-	// Wait is the time until its next request is within the budget.
+	// Wait is the time until its next turn is within the budget.
 	Wait time.Duration
 }
 
-// Decide returns whether the node reads the log now. After each request the
+// Decide returns whether the node reads the log now. After each turn the
 // caller calls [Reader.Sent].
 func (rd *Reader) Decide(vi View, now time.Time) Decision {
 	local := rd.local(vi.Alive)
@@ -141,11 +146,11 @@
 	return Decision{Read: true, Wait: max(0, rd.due(len(local), vi, now).Sub(now))}
 }
 
-// Sent records that a request was sent to the log.
-func (rd *Reader) Sent(now time.Time) {
+// Sent records that a turn with a number of requests to the log began.
+func (rd *Reader) Sent(requests int, now time.Time) {
 	rd.last = now
-	// The mean stays at the interval while nodes that started together drift apart.
-	rd.jitter = 0.5 + rd.rnd.Float64()
+	// The mean stays the same while nodes that started together drift apart.
+	rd.spent = float64(requests) * (0.5 + rd.rnd.Float64())
 }
 
 // local returns the nodes of the own data centre, always with this node.
@@ -165,10 +170,10 @@
 	return age > rd.config.Patience*time.Duration(rank-rd.config.Readers+1)
 }
 
-// due returns the time of the next request.
+// due returns the time of the next turn.
 func (rd *Reader) due(known int, vi View, now time.Time) time.Time {
 	interval := rd.interval(known, now)
-	spaced := time.Duration(float64(interval) * rd.jitter)
+	spaced := time.Duration(float64(interval) * rd.spent)
 	if !rd.last.IsZero() {
 		return rd.last.Add(spaced)
 	}
@@ -188,7 +193,8 @@
 	readers := nodes * min(1, float64(rd.config.Readers)/float64(known))
 	interval := time.Duration(readers / rd.config.Budget * float64(time.Second))
 	if known == 1 {
-		interval = max(interval, aloneInterval)
+		alone := time.Duration(rd.config.Expected) * time.Second / aloneRate
+		interval = max(interval, alone)
 	}
 	return interval
 }
