--- a/internal/relayer/scale_test.go
+++ b/internal/relayer/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -86,7 +87,27 @@
 				wd.act(origin)
 			}, func(vn *vnode) bool { return len(vn.rl.State().Marks()) == 1 })
 			t.Logf("idle: %.0f B/s per node", idle)
+			t.Logf("full exchange with everyone: %d B per node and round",
+				2*(size-1)*len(wd.nodes[0].rl.checkpoint()))
 			require.Less(t, idle, 4000.0)
 		})
 	}
 }
+
+// Guards against news that a lost message holds up for long.
+func TestSpreadWithLoss(t *testing.T) {
+	for _, loss := range []float64{0.01, 0.1, 0.3} {
+		wd := newWorld(100, 9, 1, Config{})
+		wd.loss = loss
+		wd.append(encode(t, reducer.Record{ID: "a", Document: testDocument("v1", 65)}))
+		wd.run(20 * time.Second)
+		wd.append(encode(t, reducer.Record{ID: "b", Base: 1, Document: testDocument("v2", 65)}))
+		start := wd.now
+		lacks := func(vn *vnode) bool { return vn.rl.State().Next() < 2 }
+		for slices.ContainsFunc(wd.nodes, lacks) && wd.now.Sub(start) < time.Minute {
+			wd.run(time.Millisecond)
+		}
+		t.Logf("%.0f%% of messages lost: everywhere after %v", loss*100, wd.now.Sub(start))
+		require.Less(t, wd.now.Sub(start), 13*time.Second)
+	}
+}
