Let false alarms of the health endpoint fade

Cause: an endpoint that always reports a fault kept the suspicion at its maximum for good, as only good reports lowered it.

--- a/internal/limiter/control.go
+++ b/internal/limiter/control.go
@@ -60,8 +60,10 @@
 	// hintAge is the age at which a hint counts half.
 	hintAge = time.Second
 	// hintTrustLoss applies to the weight of the next hints with each alarming
-	// one; the weight comes back when the own observations confirm an alarm.
+	// one, so that a report which is always wrong halves the limit three times
+	// at most. Confirmed alarms and good reports restore the weight.
 	hintTrustLoss = 0.9
+	hintTrustGain = 0.01
 	// hintEase is how far full suspicion lowers the thresholds.
 	hintEase = 0.3
 	// hintWeight is the weight of one fresh hint in the suspicion.
@@ -101,6 +103,9 @@
 	// tracked says that the reported load has followed the calls in flight, so
 	// that its drop to zero means something.
 	tracked bool
+	// idleHints is the number of fresh reports in a row of a load that dropped
+	// to zero; two of them halve the limit.
+	idleHints int
 }
 
 // reference is the usual latency of a route.
@@ -369,18 +374,25 @@
 // hint takes in a report of the target. Reports that the own observations
 // contradict lose their weight.
 func (co *control) hint(hi Hint, inFlight int, now time.Time) {
-	weight := hintWeight * co.trust * float64(hintAge) / float64(hintAge+max(hi.Age, 0))
+	weight := hintWeight * float64(hintAge) / float64(hintAge+max(hi.Age, 0))
 	co.tracked = co.tracked || hi.InFlight > 0
 	idle := co.tracked && hi.InFlight == 0 && inFlight >= 2
+	if !idle {
+		co.idleHints = 0
+	}
 	if hi.Healthy && !idle {
 		co.suspicion /= 2
+		co.trust = min(co.trust+hintTrustGain, 1)
 		return
 	}
-	co.suspicion = min(co.suspicion+weight, 1)
-	co.trust *= hintTrustLoss
-	if idle && co.suspicion > 0.6 && co.limit > co.initial {
+	co.suspicion += weight * (co.trust - co.suspicion)
+	if idle && hi.Age <= hintAge {
+		co.idleHints++
+	}
+	if co.idleHints >= 2 && co.trust > 0.5 && co.limit > co.initial {
 		co.limit = max(co.initial, co.limit/2)
 		co.holdUntil = now.Add(co.hold)
-		co.suspicion, co.tracked = 0, false
+		co.suspicion, co.idleHints, co.tracked = 0, 0, false
 	}
+	co.trust *= hintTrustLoss
 }
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -165,6 +165,19 @@
 	require.Equal(t, 2, li.Limit(), "an unused limit does not grow")
 }
 
+// Guards against a health endpoint that always reports a fault and so keeps the
+// limiter alarmed, and against an old report that counts like a fresh one.
+func TestHintsLoseWeight(t *testing.T) {
+	fresh, old := New(Config{Slots: 20}), New(Config{Slots: 20})
+	fresh.Observe(Hint{}, start)
+	old.Observe(Hint{Age: 9 * time.Second}, start)
+	require.InDelta(t, fresh.suspicion/10, old.suspicion, 1e-9)
+	for range 50 {
+		fresh.Observe(Hint{}, start)
+	}
+	require.Less(t, fresh.suspicion, 0.05)
+}
+
 // Guards against a race between callers, and against more calls in flight than
 // the target has slots.
 func TestConcurrentUse(t *testing.T) {
--- a/internal/retrier/retrier_test.go
+++ b/internal/retrier/retrier_test.go
@@ -261,6 +261,18 @@
 	require.Equal(t, NotIdempotent, Next(at, NewBudget(1), epoch).Reason)
 }
 
+// Guards against hedges that use up the tokens which failures need.
+func TestHedgesLeaveTokens(t *testing.T) {
+	bu := NewBudget(0.1)
+	at := Attempt{
+		Outcome: NotRun, Number: 1, MaxAttempts: 3, Idempotent: true, HedgeAllowed: true,
+		Deadline: epoch.Add(time.Second), Expected: time.Millisecond, Elapsed: time.Second,
+	}
+	require.True(t, Hedge(at, bu, epoch).Again)
+	require.Equal(t, BudgetEmpty, Hedge(at, bu, epoch).Reason)
+	require.True(t, Next(at, bu, epoch).Again)
+}
+
 func BenchmarkNext(b *testing.B) {
 	bu := NewBudget(1)
 	at := Attempt{Outcome: NotRun, Number: 1, MaxAttempts: 3, Deadline: epoch.Add(time.Hour)}
