Refuse work at a target whose data centre is out; move keys of dead owners

Cause: admission relied on the first node's table, so a node that had not heard of the mark, or retried by an older table, still sent work. Dead members stayed owners of keys for ten minutes, and the router never asked the splitter at the shares 0 and 1, so there were no probes and no reference calls. Conclusion: the last node has the last word; suspicion alone moves no key.

--- a/cmd/guavastall/mesh_test.go
+++ b/cmd/guavastall/mesh_test.go
@@ -228,6 +228,27 @@
 	}, 60*time.Second, 50*time.Millisecond, "nodes do not know each other")
 }
 
+// awaitDead waits until every running node takes so many for running and all
+// others for dead.
+func (me *mesh) awaitDead(alive int) {
+	require.Eventually(me.t, func() bool {
+		for _, no := range me.nodes {
+			if !no.running() {
+				continue
+			}
+			view, err := no.operator.Mesh(me.t.Context())
+			states := map[string]int{}
+			for _, mb := range view.Members {
+				states[mb.State]++
+			}
+			if err != nil || states["alive"] != alive || states["suspect"] != 0 {
+				return false
+			}
+		}
+		return true
+	}, 30*time.Second, 50*time.Millisecond, "a killed node is not taken for dead")
+}
+
 func (pr *process) running() bool {
 	select {
 	case <-pr.done:
@@ -446,3 +467,13 @@
 	}
 	return all["log.requests"].Value
 }
+
+// executions returns how often the node's target ran the call.
+func (no *meshNode) executions(t *testing.T, id string) int {
+	resp, err := http.Get("http://" + no.targetAt.String() + "/executions?id=" + id)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	var ex targetserver.Executions
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(&ex))
+	return ex.Count
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -137,8 +137,8 @@
 	Now func() time.Time
 }
 
-// Parts holds what the forwarder depends on. All but Observer, Log, Limiter
-// and Claimer are required; Limiter is required with a target.
+// Parts holds what the forwarder depends on. All but Observer, Log, Limiter,
+// Claimer and Out are required; Limiter is required with a target.
 type Parts struct {
 	// Table returns the table in force, or nil while there is none.
 	Table func() Table
@@ -155,6 +155,9 @@
 	// Claimer appends claims for routes with once "log". Without one such
 	// calls are rejected.
 	Claimer Claimer
+	// Out reports whether operators have taken the data centre of this node
+	// out; nil means never.
+	Out func() bool
 }
 
 // Forwarder carries calls. It is safe for concurrent use.
@@ -196,7 +199,7 @@
 	}
 	fw := &Forwarder{
 		config: cf, parts: pa, peers: map[checker.NodeID]*pool{},
-		gate:       &gate{limiter: pa.Limiter, now: cf.Now},
+		gate:       &gate{limiter: pa.Limiter, now: cf.Now, out: pa.Out},
 		callPrefix: strconv.FormatUint(rand.Uint64(), 36) + "-",
 	}
 	fw.once = newOnce(pa.Claimer, cf.Now)
--- a/internal/forwarder/gate.go
+++ b/internal/forwarder/gate.go
@@ -15,6 +15,8 @@
 type gate struct {
 	limiter Limiter
 	now     func() time.Time
+	// out reports whether operators have taken the data centre out.
+	out func() bool
 
 	mu       sync.Mutex
 	waiting  []chan bool
@@ -22,8 +24,12 @@
 }
 
 // enter takes a slot. It returns nil, or an error of kind Draining,
-// Overloaded, DeadlineExceeded or Cancelled. Each entry ends with leave.
+// DataCentreOut, Overloaded, DeadlineExceeded or Cancelled. Each entry ends
+// with leave.
 func (ga *gate) enter(ctx context.Context, deadline time.Time) error {
+	if ga.isOut() {
+		return errOut
+	}
 	now := ga.now()
 	ga.mu.Lock()
 	if ga.draining {
@@ -105,7 +111,16 @@
 	return ga.draining
 }
 
+// isOut reports whether the target gets no new work because its data centre is
+// out. A first node that does not know it yet, or retries by an older table,
+// still sends calls here.
+func (ga *gate) isOut() bool {
+	return ga.out != nil && ga.out()
+}
+
 var (
+	errOut = answerer.New(answerer.DataCentreOut,
+		"operators have taken the data centre of this target out")
 	errDraining   = answerer.New(answerer.Draining, "the node is leaving")
 	errOverloaded = answerer.New(answerer.Overloaded, "the concurrency limit is reached")
 	errDeadline   = answerer.New(answerer.DeadlineExceeded, "the deadline of the call passed")
--- a/internal/forwarder/last.go
+++ b/internal/forwarder/last.go
@@ -66,6 +66,9 @@
 	if fw.gate.isDraining() {
 		return errDraining
 	}
+	if fw.gate.isOut() {
+		return errOut
+	}
 	if ca.service != fw.config.Target.Service {
 		return answerer.New(answerer.NoTarget,
 			"the target of this node belongs to another service")
--- a/internal/retrier/next.go
+++ b/internal/retrier/next.go
@@ -20,7 +20,8 @@
 )
 
 // Next decides what follows a finished attempt. It withdraws from the budget
-// when it allows another attempt, except after a refusal by a leaving node.
+// when it allows another attempt, except after a refusal by a leaving node or
+// one whose data centre is out.
 func Next(at Attempt, bu *Budget, now time.Time) Decision {
 	reason := check(at)
 	if reason == Allowed && !fits(at, delay(at), now) {
@@ -52,11 +53,13 @@
 	return Allowed
 }
 
-// free reports whether the retry costs no token. A leaving node refuses without
-// running anything, so retrying elsewhere adds no load to a target, and a
-// planned stop must not drop calls when the budget is empty.
+// free reports whether the retry costs no token. A leaving node, or one whose
+// data centre is out, refuses without running anything, so retrying elsewhere
+// adds no load to a target, and a planned change must not drop calls when the
+// budget is empty.
 func free(at Attempt) bool {
-	return at.Outcome == NotRun && at.Kind == answerer.Draining
+	planned := at.Kind == answerer.Draining || at.Kind == answerer.DataCentreOut
+	return at.Outcome == NotRun && planned
 }
 
 // permanent reports whether another target would fail the call in the same way.
--- a/internal/retrier/retrier_test.go
+++ b/internal/retrier/retrier_test.go
@@ -94,7 +94,8 @@
 	if !retriable || !transient || at.Marked || at.Number >= at.MaxAttempts || !intime {
 		return false
 	}
-	return at.Kind == answerer.Draining && at.Outcome == NotRun || na.pay(0, now)
+	planned := at.Kind == answerer.Draining || at.Kind == answerer.DataCentreOut
+	return planned && at.Outcome == NotRun || na.pay(0, now)
 }
 
 func (na *naive) hedge(at Attempt, now time.Time) bool {
--- a/internal/router/plan.go
+++ b/internal/router/plan.go
@@ -13,7 +13,7 @@
 
 // Plan matches the service and the route of the call, the first match in
 // order, and assigns the version. The error has kind UnknownService or NoRoute.
-func (ta *Table) Plan(ca Call, _ time.Time) (Plan, error) {
+func (ta *Table) Plan(ca Call, now time.Time) (Plan, error) {
 	sv, ok := ta.services[ca.Service]
 	if !ok {
 		return Plan{}, answerer.New(answerer.UnknownService,
@@ -31,7 +31,7 @@
 	if pl.Owned {
 		pl.keyHash = mix(xxhash.Sum64String(ca.Key))
 	}
-	ta.assign(&pl, &sv.split)
+	ta.assign(&pl, &sv.split, now)
 	return pl, nil
 }
 
@@ -49,10 +49,10 @@
 
 // assign chooses the version. A version without a usable endpoint is replaced
 // by the other one of the move.
-func (ta *Table) assign(pl *Plan, sp *Split) {
+func (ta *Table) assign(pl *Plan, sp *Split, now time.Time) {
 	ro := pl.route
 	pl.pool = ro.old
-	if ro.new.usable(pl.Owned) && ta.useNew(pl, sp) {
+	if ro.new.usable(pl.Owned) && ta.useNew(pl, sp, now) {
 		pl.pool, pl.fallback = ro.new, ro.old
 	}
 	if !pl.pool.usable(pl.Owned) && ro.new.usable(pl.Owned) {
@@ -66,16 +66,17 @@
 
 // useNew reports whether the call goes to the new version. A key decides by
 // its hash, so that a key moves at most once while the share grows.
-func (ta *Table) useNew(pl *Plan, sp *Split) bool {
+//
+// The splitter is asked at the shares 0 and 1 too: at 0 it lets a few probes
+// through, and at 1 it keeps a few calls on the old version for comparison.
+func (ta *Table) useNew(pl *Plan, sp *Split, now time.Time) bool {
 	switch {
-	case sp.Share <= 0:
-		return false
-	case sp.Share >= 1:
-		return true
 	case pl.Owned:
 		return unit(mix(pl.keyHash^versionSalt)) < sp.Share
+	case ta.splitter == nil:
+		return sp.Share >= 1
 	}
-	return ta.splitter.UseNew(sp.Move, sp.Share)
+	return ta.splitter.UseNew(sp.Move, sp.Share, now)
 }
 
 // versionSalt makes the version of a key independent of its owner.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -32,8 +32,12 @@
 	Connections int
 	// Draining says that the node is leaving and takes no new work.
 	Draining bool
-	// Suspect says that the node is suspected to have failed.
+	// Suspect says that the node is suspected to have failed. It gets no calls
+	// while suspicion is believed, but stays the owner of its keys.
 	Suspect bool
+	// Dead says that the suspicion was not refuted in time. The endpoint then
+	// counts as suspect and owns no keys either.
+	Dead bool
 	// Started is when this node first heard of the present incarnation of the
 	// endpoint; zero if it is unknown. Reports older than that are ignored.
 	Started time.Time
@@ -66,7 +70,7 @@
 type Splitter interface {
 	// UseNew reports whether the next call of the move uses the new version,
 	// such that the given share of the calls does.
-	UseNew(move checker.MoveID, share float64) bool
+	UseNew(move checker.MoveID, share float64, now time.Time) bool
 }
 
 // Config is what a [Table] is built from.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -53,10 +53,14 @@
 	return list
 }
 
-// alternate is a Splitter that gives every second call to the new version.
+// alternate is a Splitter that gives every second call to the new version, or
+// none or all at the shares 0 and 1.
 type alternate struct{ calls int }
 
-func (al *alternate) UseNew(checker.MoveID, float64) bool {
+func (al *alternate) UseNew(_ checker.MoveID, share float64, _ time.Time) bool {
+	if share <= 0 || share >= 1 {
+		return share >= 1
+	}
 	al.calls++
 	return al.calls%2 == 0
 }
@@ -450,3 +454,54 @@
 	}
 	return na
 }
+
+// recordShares is a Splitter that notes the shares it is asked about.
+type recordShares struct{ shares []float64 }
+
+func (rs *recordShares) UseNew(_ checker.MoveID, share float64, _ time.Time) bool {
+	rs.shares = append(rs.shares, share)
+	return false
+}
+
+// Guards against a new version without probes at share 0, and against an old
+// version without calls to compare with at share 1.
+func TestSplitterDecidesAtTheEnds(t *testing.T) {
+	for _, share := range []float64{0, 0.5, 1} {
+		rs := &recordShares{}
+		ta := mustTable(t, Config{
+			Endpoints: endpoints("v1", "v2"), Splitter: rs,
+			Splits: map[checker.Service]Split{"tag": {Move: 1, Old: "v1", New: "v2", Share: share}},
+		})
+		pl, err := ta.Plan(Call{Service: "tag", Method: "GET", Path: "/scan"}, time.Time{})
+		require.NoError(t, err)
+		require.Equal(t, checker.Version("v1"), pl.Version)
+		require.Equal(t, []float64{share}, rs.shares)
+	}
+}
+
+// Guards against keys that stay with a dead owner, whose calls then fail until
+// the membership forgets it, and against owners that change on mere suspicion.
+func TestOwnerMovesWhenDead(t *testing.T) {
+	doc := testDocument()
+	co := doc.Services["tag"]
+	co.Routes = []checker.Route{{Name: "confirm", PathPrefix: "/", Once: checker.OnceMemory}}
+	doc.Services["tag"] = co
+	list := endpoints("v1", "v1", "v1")
+	owner := func() checker.NodeID {
+		ta := mustTable(t, Config{Document: doc, Endpoints: list})
+		pl, err := ta.Plan(Call{Service: "tag", Method: "POST", Path: "/confirm", Key: "k"}, time.Time{})
+		require.NoError(t, err)
+		en, err := ta.Pick(pl, nil, NewLoads(1), time.Unix(1000, 0))
+		require.NoError(t, err)
+		return en.Node
+	}
+	first := owner()
+	for nn := range list {
+		if list[nn].Node == first {
+			list[nn].Suspect = true
+			require.Equal(t, first, owner())
+			list[nn].Dead = true
+		}
+	}
+	require.NotEqual(t, first, owner())
+}
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -217,7 +217,9 @@
 		ey := ta.entry(en, pr)
 		// A suspect stays a candidate owner: if ownership moved with each
 		// suspicion, a resend could reach a node that does not know its key.
-		po.owners = append(po.owners, ey)
+		if !en.Dead || !trusted {
+			po.owners = append(po.owners, ey)
+		}
 		gr := groups[en.DataCentre]
 		if gr == nil {
 			gr = ta.group(cf, pr, en)
@@ -225,7 +227,7 @@
 			po.groups = append(po.groups, gr)
 		}
 		ey.group = gr
-		if en.Suspect && trusted {
+		if (en.Suspect || en.Dead) && trusted {
 			continue
 		}
 		gr.entries = append(gr.entries, ey)
@@ -253,7 +255,7 @@
 			continue
 		}
 		all++
-		if !en.Suspect {
+		if !en.Suspect && !en.Dead {
 			healthy++
 		}
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -208,6 +208,7 @@
 		Table:    no.routes,
 		Loads:    no.loads,
 		Retrier:  forwarder.NewRetrier(),
+		Out:      func() bool { return no.State().Out(se.DataCentre) },
 		Observer: evidence{no.collector, se.DataCentre, no},
 		Log:      recorder.New(no.log, no.metrics, no.now),
 	}
--- a/internal/runner/table.go
+++ b/internal/runner/table.go
@@ -135,7 +135,7 @@
 		Endpoints: no.endpoints(members, now),
 		Splits:    map[checker.Service]router.Split{},
 		Marks:     map[checker.DataCentre]router.Mark{},
-		Splitter:  splitter{no.splitter, no.now},
+		Splitter:  splitter{no.splitter},
 	}
 	for se := range state.Document().Services {
 		sp := state.Split(se, dc)
@@ -185,7 +185,8 @@
 			Service: mb.Service, Version: mb.Version,
 			Slots: int(mb.Slots), Connections: int(mb.Connections),
 			Draining: mb.Draining,
-			Suspect:  mb.State != detector.Alive,
+			Suspect:  mb.State == detector.Suspect,
+			Dead:     mb.State == detector.Dead,
 			Started:  no.seen.member(mb, now),
 		})
 	}
@@ -194,11 +195,10 @@
 
 // splitter assigns calls for the router.
 type splitter struct {
-	sp  *evaluator.Splitter
-	now func() time.Time
+	sp *evaluator.Splitter
 }
 
 // UseNew reports whether the next call of the move uses the new version.
-func (sl splitter) UseNew(move checker.MoveID, share float64) bool {
-	return sl.sp.Assign(move, share, sl.now()) == evaluator.New
+func (sl splitter) UseNew(move checker.MoveID, share float64, now time.Time) bool {
+	return sl.sp.Assign(move, share, now) == evaluator.New
 }
