Let a restarted node serve only once it knows its peers' facts

Cause: a node that lacked no record counted as fresh before it had pulled the facts of its peers, and one that read the log first did not wait for peers at all; it could send calls to a data centre that operators had taken out. Before: TestRestartedNodeKnowsFacts fails without the new condition. A hung request of the log's stand-in no longer takes effect when the hang ends, as its comment says; that race let TestFactsSpreadDuringOutage/hang pass with the append of facts switched off.

--- a/internal/distributor/distributor.go
+++ b/internal/distributor/distributor.go
@@ -178,6 +178,8 @@
 	changed chan struct{}
 	stale   bool
 	waited  bool
+	// logRead says that the log has been read to its end since the start.
+	logRead bool
 	// found holds addresses read from announcements.
 	found []checker.NodeID
 	stats Stats
@@ -314,14 +316,16 @@
 	}
 }
 
-// settle ends the stale time once a peer that is not stale itself has
-// answered, every other one has answered or failed, and the node holds all
-// that those hold. The caller holds the lock.
+// settle ends the stale time once a peer that is not stale itself has answered
+// or the log has been read to its end, every peer has answered or failed, and
+// the node holds all records and facts that those hold. The caller holds the lock.
 func (ds *Distributor) settle(now time.Time) {
 	if ds.stale {
 		co := ds.relayer.Contact()
-		if co.Fresh > 0 && co.Waiting == 0 && ds.relayer.Next() >= co.Next {
-			ds.fresh()
+		caughtUp := ds.relayer.Next() >= co.Next && co.Unread == 0
+		if (co.Fresh > 0 || ds.logRead) && co.Waiting == 0 && caughtUp {
+			ds.stale = false
+			ds.relayer.SetStale(false)
 		}
 	}
 	if !ds.waited && (!ds.stale || now.Sub(ds.started) >= ds.config.StartWait) {
@@ -330,12 +334,6 @@
 	}
 }
 
-// fresh ends the stale time. The caller holds the lock.
-func (ds *Distributor) fresh() {
-	ds.stale = false
-	ds.relayer.SetStale(false)
-}
-
 // count changes the statistics.
 func (ds *Distributor) count(change func(*Stats)) {
 	ds.mu.Lock()
--- a/internal/distributor/distributor_test.go
+++ b/internal/distributor/distributor_test.go
@@ -249,8 +249,8 @@
 	return list
 }
 
-// Guards against a restarted node that serves an older configuration than a
-// peer it can reach, when the log hangs or holds only old records.
+// Guards against a restarted node that serves an older configuration, or
+// knows fewer facts, than a peer it can reach, when the log hangs or holds only old records.
 func TestRestartedNodeIsNeverOlderThanItsPeers(t *testing.T) {
 	cl := newCluster(t, logserver.Config{})
 	nodes := cl.start(6, 2)
@@ -259,6 +259,8 @@
 	last := publish(t, nodes[0], "v2")
 	reach(t, last.Revision, nodes...)
 	cl.log.SetFaults(logserver.Faults{Outage: logserver.Hang})
+	require.True(t, nodes[5].Join(mark(nodes[5].State(), "dc1", true)))
+	eventually(t, "the mark arrives", func() bool { return nodes[4].State().Out("dc1") })
 	for _, old := range nodes[:4] {
 		old.kill()
 		tn := cl.restart(old, 6, 2)
@@ -267,9 +269,27 @@
 		ready(t, tn)
 		require.False(t, tn.Stale())
 		require.Equal(t, last.Revision, tn.State().Revision())
+		require.True(t, tn.State().Out("dc1"))
 	}
 }
 
+// Guards against a restarted node that serves before it knows the facts of its
+// peers, for example that a data centre is out, when it lacks no record.
+func TestRestartedNodeKnowsFacts(t *testing.T) {
+	cl := newCluster(t, logserver.Config{})
+	nodes := cl.start(3, 1)
+	allFresh(t, nodes)
+	cl.log.SetFaults(logserver.Faults{Outage: logserver.Hang})
+	require.True(t, nodes[0].Join(mark(nodes[0].State(), "dc1", true)))
+	eventually(t, "the mark arrives", func() bool { return nodes[1].State().Out("dc1") })
+	nodes[2].kill()
+	tn := cl.restart(nodes[2], 3, 1)
+	tn.run()
+	ready(t, tn)
+	require.False(t, tn.Stale())
+	require.True(t, tn.State().Out("dc1"))
+}
+
 // Guards against a node that never gets ready, or claims to be fresh, when
 // neither peers nor the log answer.
 func TestStaleNodeWaitsBounded(t *testing.T) {
--- a/internal/distributor/read.go
+++ b/internal/distributor/read.go
@@ -136,9 +136,7 @@
 	}
 	ds.update(func(rl *relayer.Relayer, now time.Time) {
 		rl.Logged(records, now)
-		if ds.stale && rl.Next() >= ba.Next {
-			ds.fresh()
-		}
+		ds.logRead = ds.logRead || rl.Next() >= ba.Next
 	})
 }
 
--- a/internal/logserver/fault.go
+++ b/internal/logserver/fault.go
@@ -109,8 +109,13 @@
 func (fc *faultControl) admit(ctx context.Context, appends, delayed bool) error {
 	for {
 		fa, changed := fc.get()
-		if fa.Outage == Refuse {
+		switch fa.Outage {
+		case Refuse:
 			return errRefused
+		case Hang:
+			// The request stays without effect when the outage ends, so that a
+			// test does not depend on which of the two ends first.
+			changed = nil
 		}
 		left := ctx.Done()
 		if appends && fa.Outage == "" {
--- a/internal/relayer/peer.go
+++ b/internal/relayer/peer.go
@@ -51,6 +51,8 @@
 	pending, sent map[factKey]reducer.Fact
 	// mismatchAt is since when the facts differ; zero if they are equal.
 	mismatchAt time.Time
+	// factsTaken says that a pull of facts from the peer has succeeded.
+	factsTaken bool
 	// recordPulls and factPulls space pulls that bring nothing new.
 	recordPulls, factPulls pulls
 }
@@ -163,6 +165,9 @@
 	Waiting int
 	// Next is the greatest offset that any of them holds.
 	Next uint64
+	// Unread is the number of fresh ones whose facts differ from those of this
+	// node and have not been pulled yet.
+	Unread int
 }
 
 // Contact returns what became of the attempts to reach the neighbours.
@@ -181,6 +186,9 @@
 			co.Answered++
 			if !pe.said.Stale {
 				co.Fresh++
+				if !pe.factsTaken && pe.said.Facts != rl.cached().digest {
+					co.Unread++
+				}
 			}
 			co.Next = max(co.Next, pe.said.Next)
 		}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -308,6 +308,7 @@
 		pe.recordPulls.note(rl.progress() != before, now, rl.config.Period)
 	}
 	if len(ac.Pull.Buckets) > 0 {
+		pe.factsTaken = true
 		pe.factPulls.note(rl.cached().digest != digest, now, rl.config.Period)
 	}
 }
