Count nodes that called this one among the peers it has reached

Cause: TestHerdRestarts timed out once in its 15 s: a node that was called by others, but had no neighbour of its own yet, took itself for one without peers; and in the test a node's links did not follow the members it knew. TestTrimmedPastANode took 11 s once, because readers look for checkpoints within an eighth of the retention, which the test left at an hour. Before: one failure of TestHerdRestarts in one run of the package under a load average of 20. After: 7 of 7 runs of it pass with peaks of 37 to 69 log requests in a second (limit 135); without pacing 193. TestTrimmedPastANode took less than 1 s in 4 of 4 runs of the package.

--- a/internal/distributor/cluster_test.go
+++ b/internal/distributor/cluster_test.go
@@ -6,6 +6,7 @@
 	"encoding/gob"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http/httptest"
 	"net/netip"
 	"slices"
@@ -127,9 +128,13 @@
 func (tn *testNode) Neighbours() []checker.NodeID {
 	tn.net.mu.Lock()
 	defer tn.net.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(tn.links), func(no checker.NodeID) bool {
-		return tn.net.dead[no] || tn.known != nil && !tn.known[no]
-	})
+	links := tn.links
+	if tn.known != nil {
+		others := maps.Clone(tn.known)
+		delete(others, tn.member.Node)
+		links = elector.Owners(tn.member.Node.String(), slices.Collect(maps.Keys(others)), 3)
+	}
+	return slices.DeleteFunc(slices.Clone(links), func(no checker.NodeID) bool { return tn.net.dead[no] })
 }
 
 // meet merges the members that two nodes know, as the gossip between them does.
@@ -212,7 +217,8 @@
 		},
 		cf: Config{
 			StartWait: time.Second, Poll: 100 * time.Millisecond, CallTimeout: 300 * time.Millisecond,
-			GapWait: 100 * time.Millisecond, Tick: 10 * time.Millisecond, AnnounceEvery: 100 * time.Millisecond,
+			// A reader looks for checkpoints within an eighth of the retention.
+			Retention: 2 * time.Second, GapWait: 100 * time.Millisecond, Tick: 10 * time.Millisecond, AnnounceEvery: 100 * time.Millisecond,
 			Reader: elector.Config{
 				Budget: 2000, Expected: 5, PeersFirst: 50 * time.Millisecond, Settle: 100 * time.Millisecond,
 				Patience: 600 * time.Millisecond,
--- a/internal/distributor/distributor_test.go
+++ b/internal/distributor/distributor_test.go
@@ -139,7 +139,6 @@
 // than its retention: the memory of the nodes must become the new checkpoint.
 func TestOutageLongerThanRetention(t *testing.T) {
 	cl := newCluster(t, logserver.Config{})
-	cl.cf.Retention = 2 * time.Second
 	nodes := cl.start(4, 2)
 	allFresh(t, nodes)
 	last := publish(t, nodes[0], "v1")
@@ -353,10 +352,10 @@
 // takes, and against nodes that then find no configuration. The restarted
 // nodes know only themselves.
 func TestHerdRestarts(t *testing.T) {
-	const count, dataCentres, budget = 60, 3, 30
+	const count, dataCentres, budget = 60, 3, 15
 	cl := newCluster(t, logserver.Config{})
 	cl.cf.Reader = elector.Config{Budget: budget, Expected: count / dataCentres, PeersFirst: 100 * time.Millisecond}
-	cl.cf.AnnounceEvery, cl.cf.Poll = 2*time.Second, time.Second
+	cl.cf.AnnounceEvery, cl.cf.Poll, cl.cf.Retention = 2*time.Second, time.Second, time.Hour
 	nodes := cl.start(count, dataCentres)
 	allFresh(t, nodes)
 	last := publish(t, nodes[0], "v1")
@@ -379,9 +378,9 @@
 	}
 	stats := cl.log.Stats()
 	t.Logf("peak of %d log requests in a second, %d in all", stats.Peak, stats.Reads+stats.Appends)
-	// Half as much again is left for the jitter and for upkeep. Without pacing
-	// all nodes send at once: 218 were seen.
-	require.LessOrEqual(t, stats.Peak, budget*dataCentres*3/2)
+	// Three times the budget leaves room for jitter, the survivors' reads and
+	// upkeep. Without pacing all nodes send at once: 193 were seen.
+	require.LessOrEqual(t, stats.Peak, 3*budget*dataCentres)
 }
 
 // Guards against a node without seeds that finds no peers, and against
--- a/internal/relayer/peer.go
+++ b/internal/relayer/peer.go
@@ -156,6 +156,7 @@
 }
 
 // Contact counts the neighbours by what became of the attempts to reach them.
+// Nodes that have taken this one for their neighbour count once they are heard.
 type Contact struct {
 	// Answered is the number that answered; Fresh those of them that were not stale.
 	Answered, Fresh int
@@ -174,10 +175,8 @@
 func (rl *Relayer) Contact() Contact {
 	var co Contact
 	for _, pe := range rl.peers {
-		if !pe.linked {
-			continue
-		}
 		switch {
+		case !pe.linked && pe.heardAt.IsZero():
 		case pe.fails > 0:
 			co.Failed++
 		case pe.heardAt.IsZero():
