--- a/internal/relayer/peer.go
+++ b/internal/relayer/peer.go
@@ -51,6 +51,8 @@
 	pending, sent map[factKey]reducer.Fact
 	// mismatchAt is since when the facts differ; zero if they are equal.
 	mismatchAt time.Time
+	// factsTaken says that a pull of facts from the peer has succeeded.
+	factsTaken bool
 	// recordPulls and factPulls space pulls that bring nothing new.
 	recordPulls, factPulls pulls
 }
@@ -154,6 +156,7 @@
 }
 
 // Contact counts the neighbours by what became of the attempts to reach them.
+// Nodes that have taken this one for their neighbour count once they are heard.
 type Contact struct {
 	// Answered is the number that answered; Fresh those of them that were not stale.
 	Answered, Fresh int
@@ -163,16 +166,17 @@
 	Waiting int
 	// Next is the greatest offset that any of them holds.
 	Next uint64
+	// Unread is the number of fresh ones whose facts differ from those of this
+	// node and have not been pulled yet.
+	Unread int
 }
 
 // Contact returns what became of the attempts to reach the neighbours.
 func (rl *Relayer) Contact() Contact {
 	var co Contact
 	for _, pe := range rl.peers {
-		if !pe.linked {
-			continue
-		}
 		switch {
+		case !pe.linked && pe.heardAt.IsZero():
 		case pe.fails > 0:
 			co.Failed++
 		case pe.heardAt.IsZero():
@@ -181,6 +185,9 @@
 			co.Answered++
 			if !pe.said.Stale {
 				co.Fresh++
+				if !pe.factsTaken && pe.said.Facts != rl.cached().digest {
+					co.Unread++
+				}
 			}
 			co.Next = max(co.Next, pe.said.Next)
 		}
