--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -1,6 +1,7 @@
 package detector
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -353,28 +354,20 @@
 		least = min(least, probed[no.id])
 	}
 	require.Positive(t, least)
-	without := 0
-	for ii := range si.nodes {
-		rivals := 0 // probed by a node if among its top 3 of its data centre
-		for jj := range si.nodes {
-			if ii == jj || si.nodes[ii].dc != si.nodes[jj].dc {
-				continue
-			}
-			own := score(jj, ii)
-			better := 0
-			for kk := range si.nodes {
-				if kk != jj && si.nodes[kk].dc == si.nodes[jj].dc && score(jj, kk) > own {
-					better++
-				}
-			}
-			if better < localRings {
-				rivals++
+	chosen := map[int]bool{} // by rendezvous hashing: the top 3 of each node
+	for node := range si.nodes {
+		var others []int
+		for other, no := range si.nodes {
+			if other != node && no.dc == si.nodes[node].dc {
+				others = append(others, other)
 			}
 		}
-		if rivals == 0 {
-			without++
+		slices.SortFunc(others, func(one, two int) int { return cmp.Compare(score(node, two), score(node, one)) })
+		for _, other := range others[:localRings] {
+			chosen[other] = true
 		}
 	}
+	without := len(si.nodes) - len(chosen)
 	t.Logf("rings: each member is probed by at least %d; rendezvous hashing: %d of %d by none in their data centre",
 		least, without, len(si.nodes))
 }
