--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -416,7 +416,7 @@
 // without contact.
 func (de *Detector) sweep(now time.Time) {
 	for node, en := range de.table.entries {
-		if en.State >= Dead && node != de.node && now.Sub(en.since) >= de.config.DeadTime {
+		if en.state() >= Dead && node != de.node && now.Sub(en.since) >= de.config.DeadTime {
 			de.table.remove(node)
 			de.dropPeer(node)
 		}
--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -223,6 +223,22 @@
 	require.Contains(t, actions, de.exchange(testNode(1), 0, de.lastTick))
 }
 
+// Guards against verdicts made without contact that outlast a freeze and the
+// next contact, or that are never forgotten.
+func TestLocalVerdicts(t *testing.T) {
+	de := newDetector(0)
+	de.Merge([]Member{testMember(1), testMember(2)}, nil, testNode(1), epoch)
+	de.setLocal(de.table.entries[testNode(1)], Dead, epoch)
+	now := epoch.Add(time.Minute)
+	de.Tick(now)
+	forgotten := now.Add(de.config.DeadTime)
+	de.Pinged(Message{From: testNode(2), Incarnation: testMember(2).Incarnation}, now)
+	require.Equal(t, Alive, stateOf(de, 1))
+	de.setLocal(de.table.entries[testNode(1)], Dead, now)
+	de.sweep(forgotten)
+	require.Equal(t, stateCount, stateOf(de, 1))
+}
+
 // Guards against a note that goes back or that spreads without bound.
 func TestNotes(t *testing.T) {
 	de := newDetector(0)
--- a/internal/detector/probe.go
+++ b/internal/detector/probe.go
@@ -223,7 +223,8 @@
 func (de *Detector) contact(now time.Time) {
 	isolated := de.isolated(now)
 	de.lastContact = now
-	if !isolated {
+	// Verdicts may be left over if the node was frozen since it made them.
+	if !isolated && de.locals == 0 {
 		return
 	}
 	// What failed meanwhile says nothing about the other nodes.
