--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -1,6 +1,7 @@
 package detector
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -171,6 +172,26 @@
 	require.Contains(t, de.Probe(testNode(1), epoch).Message.Members, suspected)
 }
 
+// Guards against peers that keep their bit after they are forgotten, and
+// against more peers than there are bits.
+func TestPeerBits(t *testing.T) {
+	de := newDetector(0)
+	for nn := 1; nn <= 100; nn++ {
+		de.peer(testNode(nn), epoch)
+	}
+	require.Zero(t, de.bit(testNode(100)))
+	note := Note{Key: "a", Epoch: 1}
+	de.Merge([]Member{testMember(1)}, []Note{note}, testNode(1), epoch)
+	require.False(t, de.table.hasChanges(1, de.bit(testNode(1))), "a change goes back to its sender")
+	de.sweep(epoch.Add(peerTime))
+	require.Zero(t, de.bits)
+	pe := de.peer(testNode(2), epoch)
+	require.NotZero(t, pe.bit)
+	members, notes, _ := de.table.changes(1, pe.bit, messageLimit)
+	require.Equal(t, []Member{testMember(1)}, members, "a new peer inherits what another had sent")
+	require.Equal(t, []Note{note}, notes)
+}
+
 // Guards against differences that last because no message would remove them.
 func TestExchangeTimes(t *testing.T) {
 	de := newDetector(0)
@@ -202,6 +223,22 @@
 	require.Contains(t, actions, de.exchange(testNode(1), 0, de.lastTick))
 }
 
+// Guards against verdicts made without contact that outlast a freeze and the
+// next contact, or that are never forgotten.
+func TestLocalVerdicts(t *testing.T) {
+	de := newDetector(0)
+	de.Merge([]Member{testMember(1), testMember(2)}, nil, testNode(1), epoch)
+	de.setLocal(de.table.entries[testNode(1)], Dead, epoch)
+	now := epoch.Add(time.Minute)
+	de.Tick(now)
+	forgotten := now.Add(de.config.DeadTime)
+	de.Pinged(Message{From: testNode(2), Incarnation: testMember(2).Incarnation}, now)
+	require.Equal(t, Alive, stateOf(de, 1))
+	de.setLocal(de.table.entries[testNode(1)], Dead, now)
+	de.sweep(forgotten)
+	require.Equal(t, stateCount, stateOf(de, 1))
+}
+
 // Guards against a note that goes back or that spreads without bound.
 func TestNotes(t *testing.T) {
 	de := newDetector(0)
@@ -333,28 +370,20 @@
 		least = min(least, probed[no.id])
 	}
 	require.Positive(t, least)
-	without := 0
-	for ii := range si.nodes {
-		rivals := 0 // probed by a node if among its top 3 of its data centre
-		for jj := range si.nodes {
-			if ii == jj || si.nodes[ii].dc != si.nodes[jj].dc {
-				continue
-			}
-			own := score(jj, ii)
-			better := 0
-			for kk := range si.nodes {
-				if kk != jj && si.nodes[kk].dc == si.nodes[jj].dc && score(jj, kk) > own {
-					better++
-				}
-			}
-			if better < localRings {
-				rivals++
+	chosen := map[int]bool{} // by rendezvous hashing: the top 3 of each node
+	for node := range si.nodes {
+		var others []int
+		for other, no := range si.nodes {
+			if other != node && no.dc == si.nodes[node].dc {
+				others = append(others, other)
 			}
 		}
-		if rivals == 0 {
-			without++
+		slices.SortFunc(others, func(one, two int) int { return cmp.Compare(score(node, two), score(node, one)) })
+		for _, other := range others[:localRings] {
+			chosen[other] = true
 		}
 	}
+	without := len(si.nodes) - len(chosen)
 	t.Logf("rings: each member is probed by at least %d; rendezvous hashing: %d of %d by none in their data centre",
 		least, without, len(si.nodes))
 }
