--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -36,6 +36,8 @@
 	targetsPerCentre = 2
 	// callRate is the number of calls per second.
 	callRate = 400
+	// maxEndedShare bounds the share of calls without a response of a target.
+	maxEndedShare = 0.001
 	// lookTime is the time between two looks at the state of a node.
 	lookTime = 50 * time.Millisecond
 	// headerTime bounds the header of a request to the log.
@@ -284,7 +286,8 @@
 		re.Foreign+re.Broken)
 	de.check(re.Overdue == 0, "calls without an answer after their deadline: %d", re.Overdue)
 	ended := re.Unknown + re.NotRun
-	de.check(float64(ended) < 0.001*float64(sent), "calls without a response of a target: %d", ended)
+	de.check(float64(ended) < maxEndedShare*float64(sent),
+		"calls without a response of a target: %d", ended)
 }
 
 // close stops the nodes and the log.
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -207,7 +207,7 @@
 	local := false
 	for _, en := range known {
 		local = local || en.DataCentre == ta.dataCentre
-		if en.Version != version || en.Draining {
+		if !en.serves(version) {
 			continue
 		}
 		if cf.Marks[en.DataCentre].Out {
@@ -217,7 +217,7 @@
 		ey := ta.entry(en, pr)
 		// A suspect stays a candidate owner: if ownership moved with each
 		// suspicion, a resend could reach a node that does not know its key.
-		if !en.Dead || !trusted {
+		if !trusted || !en.Dead {
 			po.owners = append(po.owners, ey)
 		}
 		gr := groups[en.DataCentre]
@@ -227,7 +227,7 @@
 			po.groups = append(po.groups, gr)
 		}
 		ey.group = gr
-		if (en.Suspect || en.Dead) && trusted {
+		if trusted && en.failing() {
 			continue
 		}
 		gr.entries = append(gr.entries, ey)
@@ -245,17 +245,25 @@
 	return po
 }
 
+// serves reports whether the endpoint takes calls for the version.
+func (en *Endpoint) serves(version checker.Version) bool {
+	return en.Version == version && !en.Draining
+}
+
+// failing reports whether the endpoint's node is suspect or dead.
+func (en *Endpoint) failing() bool { return en.Suspect || en.Dead }
+
 // trustSuspicion reports whether the share of healthy endpoints of the version
 // is high enough to believe reports of failure. If all are suspect, nothing is
 // gained by believing them.
 func trustSuspicion(known []Endpoint, version checker.Version, floor float64) bool {
 	healthy, all := 0, 0
 	for _, en := range known {
-		if en.Version != version || en.Draining {
+		if !en.serves(version) {
 			continue
 		}
 		all++
-		if !en.Suspect && !en.Dead {
+		if !en.failing() {
 			healthy++
 		}
 	}
