Use the renamed field of attempts that are no evidence

The reader now uses the field that internal/forwarder sets; go build and go vet pass on the whole tree.

--- a/internal/runner/view.go
+++ b/internal/runner/view.go
@@ -92,7 +92,7 @@
 
 // Observe counts the attempt if it belongs to a move and ran.
 func (ev evidence) Observe(ob forwarder.Observation) {
-	if ob.Move == 0 || ob.NoEvidence || ob.Outcome == retrier.NotRun {
+	if ob.Move == 0 || ob.Cancelled || ob.Outcome == retrier.NotRun {
 		return
 	}
 	arm := evaluator.Old
