Measure running deployments

No command printed the measures of the design over real processes. The package measurer reads convergence, control traffic, processor time, memory, added latency, restarts, data centre moves and rollouts from a running deployment; its test starts the processes with -measures. DELETE /stats of the log stand-in sets its counts to zero, so that the peak of a restart can be told from that of the start.

--- a/internal/logserver/handler.go
+++ b/internal/logserver/handler.go
@@ -25,6 +25,10 @@
 	mux.HandleFunc("GET /stats", func(rw http.ResponseWriter, _ *http.Request) {
 		answer(rw, http.StatusOK, sv.Stats())
 	})
+	mux.HandleFunc("DELETE /stats", func(rw http.ResponseWriter, _ *http.Request) {
+		sv.ResetStats()
+		answer(rw, http.StatusOK, sv.Stats())
+	})
 	return mux
 }
 
--- /dev/null
+++ b/internal/measurer/measurer_test.go
@@ -0,0 +1,252 @@
+package measurer_test
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavastall/guavastall/internal/measurer"
+	"github.com/guavastall/guavastall/pkg/checker"
+)
+
+var (
+	measures = flag.Bool("measures", false, "run the measures over real processes")
+	parts    = flag.String("parts", "added,deployments,slopes", "parts of the measures to run")
+	sizes    = flag.String("sizes", "10,25,50,100,200", "numbers of nodes for the slopes")
+	seed     = flag.Uint64("seed", 1, "seed of the measurer's choices")
+	folder   = flag.String("folder", filepath.Join("..", "..", "measures"), "folder for reports")
+)
+
+// restSpan is the length of a measurement at rest or at load; with processor
+// time in steps of 10 ms it resolves 0.1% of a core for one node.
+const restSpan = 10 * time.Second
+
+// Guards against measuring logic that cannot be trusted: a missing node, empty
+// readings, or a change that is said to be in force before it is.
+func TestSmoke(t *testing.T) {
+	fl := newFleet(t)
+	doc := document(t, "yaadgar.json")
+	for nn, dc := range []checker.DataCentre{"lahore", "multan", "sialkot"} {
+		at := netip.AddrPort{}
+		service := checker.Service("")
+		if nn == 0 {
+			at, service = fl.target("v1", 20, time.Millisecond), "tag"
+		}
+		fl.add(dc, service, "v1", 20, at)
+	}
+	me, _ := fl.measure("smoke", doc)
+	ctx, cancel := context.WithTimeout(t.Context(), startTime)
+	defer cancel()
+	us, err := me.Rest(ctx, time.Second)
+	require.NoError(t, err)
+	require.Equal(t, 3, us.Nodes)
+	require.Positive(t, us.BytesPerSecond)
+	require.Positive(t, us.RSS)
+	require.Zero(t, us.Violations)
+	times, err := me.Converge(ctx, 2, 0)
+	require.NoError(t, err)
+	require.Equal(t, 2, times.Count)
+	require.Positive(t, times.Median)
+	paths, err := measurer.Added(ctx, fl.paths(), "tag", 20, time.Second)
+	require.NoError(t, err)
+	require.Positive(t, paths[0].Latency.Count)
+	for _, pa := range paths {
+		require.LessOrEqual(t, pa.Latency.Count+pa.Failed, 20)
+	}
+	rs, err := me.Restart(ctx, 0.7)
+	require.NoError(t, err)
+	require.Equal(t, 2, rs.Killed)
+	require.Positive(t, rs.LogPeak)
+}
+
+// Guards against quantiles off by one and a line that misses its points.
+func TestSummaries(t *testing.T) {
+	times := measurer.NewTimes([]time.Duration{3, 1, 2})
+	require.Equal(t, measurer.Times{Count: 3, Median: 2, P99: 3, Worst: 3}, times)
+	require.Zero(t, measurer.NewTimes(nil))
+	line := measurer.Fit([]measurer.Size{{Nodes: 10}, {Nodes: 20}}, func(si measurer.Size) float64 {
+		return 5 + 2*float64(si.Nodes)
+	})
+	require.InDelta(t, 205, line.At(100), 1e-6)
+}
+
+// paths returns the ways to the target of the first node: direct, through
+// that node, and through the second node and the first.
+func (fl *fleet) paths() []measurer.Path {
+	return []measurer.Path{
+		{Name: "direct", At: fl.nodes[0].Target},
+		{Name: "one node", At: fl.nodes[0].Callers},
+		{Name: "two nodes", At: fl.nodes[1].Callers},
+	}
+}
+
+// TestMeasures prints the measures; -measures turns it on.
+func TestMeasures(t *testing.T) {
+	if !*measures {
+		t.Skip("start with -measures")
+	}
+	re := &measurer.Report{Seed: *seed, Revision: revision()}
+	defer func() { save(t, re) }()
+	for _, part := range strings.Split(*parts, ",") {
+		switch part {
+		case "added":
+			t.Run(part, func(t *testing.T) { re.Added = added(t) })
+		case "deployments":
+			t.Run("yaadgar", func(t *testing.T) { re.Deployments = append(re.Deployments, yaadgar(t)) })
+			t.Run("magnolia", func(t *testing.T) { re.Deployments = append(re.Deployments, magnolia(t)) })
+		case "slopes":
+			slopes(t, re)
+		default:
+			require.Fail(t, "unknown part", part)
+		}
+	}
+}
+
+// save prints the report and writes it as JSON.
+func save(t *testing.T, re *measurer.Report) {
+	t.Log("\n" + re.Text())
+	data, err := json.MarshalIndent(re, "", "  ")
+	require.NoError(t, err)
+	require.NoError(t, os.MkdirAll(*folder, 0o755))
+	name := fmt.Sprintf("report-%s.json", time.Now().UTC().Format("150405"))
+	require.NoError(t, os.WriteFile(filepath.Join(*folder, name), data, 0o644))
+}
+
+// added measures the added latency with one target and two nodes.
+func added(t *testing.T) []measurer.Path {
+	fl := newFleet(t)
+	fl.add("lahore", "tag", "v1", 20, fl.target("v1", 20, time.Millisecond))
+	fl.add("lahore", "", "", 0, netip.AddrPort{})
+	me, _ := fl.measure("added", document(t, "yaadgar.json"))
+	ctx := t.Context()
+	// The limiter of the target's node starts low.
+	_, err := me.Load(ctx, "warm", "tag", 300, 5*time.Second)
+	require.NoError(t, err)
+	paths, err := measurer.Added(ctx, fl.paths(), "tag", 200, 15*time.Second)
+	require.NoError(t, err)
+	return paths
+}
+
+// service is a service of a deployment and its number of endpoints.
+type service struct {
+	name      checker.Service
+	endpoints int
+}
+
+func yaadgar(t *testing.T) measurer.DeploymentReport {
+	return deployment(t, "yaadgar", []checker.DataCentre{"lahore", "multan", "sialkot"},
+		[]service{{"tag", 6}, {"grove", 5}}, 20)
+}
+
+func magnolia(t *testing.T) measurer.DeploymentReport {
+	return deployment(t, "magnolia", []checker.DataCentre{"austin", "dallas", "tulsa", "omaha"},
+		[]service{{"letters", 7}, {"replies", 5}}, 10)
+}
+
+// callsPerNode is the rate of the design size, 56,000 calls/s over 750 nodes.
+const callsPerNode = 75
+
+func deployment(
+	t *testing.T, name string, dcs []checker.DataCentre, services []service, slots int,
+) measurer.DeploymentReport {
+	fl := newFleet(t)
+	for _, sv := range services {
+		for range sv.endpoints {
+			fl.add(dcs[len(fl.nodes)%len(dcs)], sv.name, "v1", slots,
+				fl.target("v1", slots, 2*time.Millisecond))
+		}
+	}
+	me, settled := fl.measure(name, document(t, name+".json"))
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
+	defer cancel()
+	dr := measurer.DeploymentReport{Name: name, Nodes: len(fl.nodes), Settled: settled}
+	var err error
+	dr.Rest, err = me.Rest(ctx, restSpan)
+	require.NoError(t, err)
+	dr.Changes, err = me.Measure(ctx, func() error {
+		var err error
+		dr.Convergence, err = me.Converge(ctx, 25, 200*time.Millisecond)
+		return err
+	})
+	require.NoError(t, err)
+	called := services[0].name
+	_, err = me.Load(ctx, "warm", called, 100, 3*time.Second)
+	require.NoError(t, err)
+	dr.LoadRate = float64(callsPerNode * len(fl.nodes))
+	dr.Load, err = me.Measure(ctx, func() error {
+		re, err := me.Load(ctx, "load", called, dr.LoadRate, restSpan)
+		if err == nil {
+			dr.LoadGood = float64(re.Good) / float64(re.Due)
+		}
+		return err
+	})
+	require.NoError(t, err)
+	dr.Centre, err = me.MoveCentre(ctx, dcs[1], called, 300, 30*time.Second)
+	require.NoError(t, err)
+	require.NoError(t, os.MkdirAll(*folder, 0o755))
+	require.NoError(t, dr.Centre.Plot(filepath.Join(*folder, name+"-move.svg")))
+	return dr
+}
+
+// slopes measures deployments of rising size, most nodes without a target, and
+// then one with the services of the design size.
+func slopes(t *testing.T, re *measurer.Report) {
+	var counts []int
+	for _, text := range strings.Split(*sizes, ",") {
+		count, err := strconv.Atoi(text)
+		require.NoError(t, err)
+		counts = append(counts, count)
+	}
+	for _, count := range counts {
+		t.Run(fmt.Sprintf("nodes%d", count), func(t *testing.T) {
+			re.Slopes = append(re.Slopes, size(t, count, document(t, "yaadgar.json")))
+		})
+	}
+	if slices.Contains(counts, 25) {
+		t.Run("services65", func(t *testing.T) {
+			doc := document(t, "yaadgar.json")
+			for nn := len(doc.Services); nn < 65; nn++ {
+				doc.Services[checker.Service(fmt.Sprintf("tag%d", nn))] = doc.Services["tag"]
+			}
+			re.Slopes = append(re.Slopes, size(t, 25, doc))
+		})
+	}
+}
+
+func size(t *testing.T, count int, doc *checker.Document) measurer.Size {
+	fl := newFleet(t)
+	// Few targets serve all nodes, which are measured without calls.
+	targets := []netip.AddrPort{}
+	for range 4 {
+		targets = append(targets, fl.target("v1", 20, time.Millisecond))
+	}
+	for nn := range count {
+		dc := checker.DataCentre(fmt.Sprintf("dc%d", nn%3))
+		fl.add(dc, "tag", "v1", 20, targets[nn%len(targets)])
+		fl.wave()
+	}
+	me, settled := fl.measure("slope", doc)
+	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Minute)
+	defer cancel()
+	si := measurer.Size{Nodes: count, Services: len(doc.Services), Settled: settled}
+	var err error
+	si.Rest, err = me.Rest(ctx, restSpan)
+	require.NoError(t, err)
+	si.Convergence, err = me.Converge(ctx, 20, 100*time.Millisecond)
+	require.NoError(t, err)
+	si.Restart, err = me.Restart(ctx, 0.8)
+	require.NoError(t, err)
+	t.Logf("%+v", si)
+	return si
+}
--- /dev/null
+++ b/internal/measurer/rollout.go
@@ -0,0 +1,91 @@
+package measurer
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/guavastall/guavastall/pkg/checker"
+	"github.com/guavastall/guavastall/pkg/operator"
+)
+
+// Rollout is what came of one move to another target version.
+type Rollout struct {
+	To  checker.Version `json:"to"`
+	Bad bool            `json:"bad"`
+	// Phase is the phase in which the move ended.
+	Phase string           `json:"phase"`
+	Took  checker.Duration `json:"took"`
+	// Exposed is the number of calls that the new version answered or failed.
+	Exposed int64 `json:"exposed"`
+	Calls   int64 `json:"calls"`
+}
+
+// Roll moves the service to the version under load and waits until the move
+// has ended or the span is over.
+func (me *Measurer) Roll(
+	ctx context.Context, service checker.Service, to checker.Version,
+	rate float64, span time.Duration,
+) (Rollout, error) {
+	ro := Rollout{To: to}
+	cl := me.clients[me.deployment.Nodes[0]]
+	conf, err := cl.Configuration(ctx)
+	if err != nil {
+		return ro, err
+	}
+	loadCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	type loaded struct {
+		good, failed, exposed int64
+		err                   error
+	}
+	result := make(chan loaded, 1)
+	go func() {
+		re, err := me.Load(loadCtx, "roll-"+string(to), service, rate, span)
+		if err != nil {
+			result <- loaded{err: err}
+			return
+		}
+		result <- loaded{re.Good, re.Failed, re.Versions[string(to)], nil}
+	}()
+	began := time.Now()
+	ac, err := cl.Choose(ctx, operator.Choice{
+		ID: uuid.NewString(), Base: conf.Revision, Service: service, Version: to,
+	})
+	if err != nil {
+		return ro, fmt.Errorf("choose version %s: %w", to, err)
+	}
+	ro.Phase = me.follow(ctx, cl, ac.Move, began.Add(span))
+	ro.Took = checker.Duration(time.Since(began))
+	stop()
+	ld := <-result
+	ro.Calls, ro.Exposed = ld.good+ld.failed, ld.exposed
+	return ro, ld.err
+}
+
+// follow returns the phase of the move when it ends or at the deadline.
+func (me *Measurer) follow(
+	ctx context.Context, cl *operator.Client, move checker.MoveID, deadline time.Time,
+) string {
+	phase := "unknown"
+	for ctx.Err() == nil && time.Now().Before(deadline) {
+		list, err := cl.Moves(ctx)
+		for _, mo := range list {
+			if err == nil && mo.ID == move {
+				phase = mo.Phase
+			}
+		}
+		if phase == "done" || phase == "takenBack" || phase == "superseded" {
+			return phase
+		}
+		time.Sleep(pollTime)
+	}
+	return phase
+}
+
+func (ro *Rollout) row(row func(string, ...any)) {
+	row("move to %s (bad: %t)\t%s after %.1f s\t%d of %d calls exposed",
+		ro.To, ro.Bad, ro.Phase, millis(ro.Took)/1000, ro.Exposed, ro.Calls)
+}
