Measure what a call costs its first and its last node

Processor time at load was an average over nodes that were first, last or both on the path. Calls that enter at a node without a target and run at another one tell the two apart, and calls with a key show the appends of their owner.

--- a/internal/measurer/measurer_test.go
+++ b/internal/measurer/measurer_test.go
@@ -102,7 +102,7 @@
 	for _, part := range strings.Split(*parts, ",") {
 		switch part {
 		case "added":
-			t.Run(part, func(t *testing.T) { re.Added = added(t) })
+			t.Run(part, func(t *testing.T) { added(t, re) })
 		case "deployments":
 			t.Run("yaadgar", func(t *testing.T) { re.Deployments = append(re.Deployments, yaadgar(t)) })
 			t.Run("magnolia", func(t *testing.T) { re.Deployments = append(re.Deployments, magnolia(t)) })
@@ -126,8 +126,9 @@
 	require.NoError(t, os.WriteFile(filepath.Join(*folder, name), data, 0o644))
 }
 
-// added measures the added latency with one target and two nodes.
-func added(t *testing.T) []measurer.Path {
+// added measures the added latency and the cost of a call with one target and
+// two nodes.
+func added(t *testing.T, re *measurer.Report) {
 	fl := newFleet(t)
 	fl.add("lahore", "tag", "v1", 20, fl.target("v1", 20, time.Millisecond))
 	fl.add("lahore", "", "", 0, netip.AddrPort{})
@@ -136,9 +137,10 @@
 	// The limiter of the target's node starts low.
 	_, err := me.Load(ctx, "warm", "tag", 300, 5*time.Second)
 	require.NoError(t, err)
-	paths, err := measurer.Added(ctx, fl.paths(), "tag", 200, 15*time.Second)
+	re.Added, err = measurer.Added(ctx, fl.paths(), "tag", 200, 15*time.Second)
+	require.NoError(t, err)
+	re.Roles, err = me.Roles(ctx, "tag", 300, 50, restSpan)
 	require.NoError(t, err)
-	return paths
 }
 
 // service is a service of a deployment and its number of endpoints.
--- a/internal/measurer/report.go
+++ b/internal/measurer/report.go
@@ -18,6 +18,7 @@
 	// Deployments and Slopes hold what was run; either may be empty.
 	Deployments []DeploymentReport `json:"deployments,omitempty"`
 	Added       []Path             `json:"added,omitempty"`
+	Roles       []Role             `json:"roles,omitempty"`
 	Slopes      []Size             `json:"slopes,omitempty"`
 	Rollouts    []Rollout          `json:"rollouts,omitempty"`
 }
@@ -104,6 +105,9 @@
 		row("calls answered in time\t%.3f%%", 100*dr.LoadGood)
 		dr.Centre.rows(row)
 	}
+	for _, ro := range re.Roles {
+		ro.row(row)
+	}
 	for _, ro := range re.Rollouts {
 		ro.row(row)
 	}
--- a/internal/measurer/usage.go
+++ b/internal/measurer/usage.go
@@ -34,6 +34,9 @@
 	LogAppends float64 `json:"logAppends"`
 	// Violations counts invariants found broken since the nodes started.
 	Violations int64 `json:"violations"`
+
+	// cpus and rss hold the shares and the memory of each node.
+	cpus, rss []float64
 }
 
 // reading is what one node has used so far.
@@ -74,6 +77,7 @@
 	for nn, rd := range after {
 		bytes := float64(rd.bytes-before[nn].bytes) / span
 		cpu := (rd.cpu - before[nn].cpu).Seconds() / span
+		us.cpus, us.rss = append(us.cpus, cpu), append(us.rss, float64(rd.rss))
 		us.BytesPerSecond += bytes / float64(len(after))
 		us.CPU += cpu / float64(len(after))
 		us.RSS += float64(rd.rss) / float64(len(after))
