Fit a logarithm beside the line

Between 10 and 100 nodes the resident memory rose from 17.6 to 24.8 MB and the control traffic from 1,408 to 2,184 B/s, in steps that shrink with the size; a line alone overstates both at 750 nodes. The table gives both fits with their share of explained variance.

--- a/internal/measurer/measurer_test.go
+++ b/internal/measurer/measurer_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -76,10 +77,16 @@
 	times := measurer.NewTimes([]time.Duration{3, 1, 2})
 	require.Equal(t, measurer.Times{Count: 3, Median: 2, P99: 3, Worst: 3}, times)
 	require.Zero(t, measurer.NewTimes(nil))
-	line := measurer.Fit([]measurer.Size{{Nodes: 10}, {Nodes: 20}}, func(si measurer.Size) float64 {
+	list := []measurer.Size{{Nodes: 10}, {Nodes: 20}, {Nodes: 40}}
+	line := measurer.Fit(list, func(si measurer.Size) float64 {
 		return 5 + 2*float64(si.Nodes)
-	})
+	}, false)
 	require.InDelta(t, 205, line.At(100), 1e-6)
+	line = measurer.Fit(list, func(si measurer.Size) float64 {
+		return 5 + 2*math.Log(float64(si.Nodes))
+	}, true)
+	require.InDelta(t, 5+2*math.Log(100), line.At(100), 1e-6)
+	require.InDelta(t, 1, line.RSquared, 1e-6)
 }
 
 // paths returns the ways to the target of the first node: direct, through
@@ -141,6 +148,7 @@
 	require.NoError(t, err)
 	re.Roles, err = me.Roles(ctx, "tag", 300, 50, restSpan)
 	require.NoError(t, err)
+	t.Logf("%+v %+v", re.Added, re.Roles)
 }
 
 // service is a service of a deployment and its number of endpoints.
--- a/internal/measurer/report.go
+++ b/internal/measurer/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -48,24 +49,37 @@
 	Restart     Restart          `json:"restart"`
 }
 
-// Line is a straight line fitted to a quantity by the number of nodes.
+// Line is a straight line fitted to a quantity by the number of nodes or by its
+// natural logarithm.
 type Line struct {
 	Start, Slope float64
+	// RSquared is the share of the variance that the line explains.
+	RSquared    float64
+	logarithmic bool
 }
 
 // Fit fits a line to the quantity by least squares; at least two sizes.
-func Fit(list []Size, quantity func(Size) float64) Line {
-	var nodes, values []float64
+func Fit(list []Size, quantity func(Size) float64, logarithmic bool) Line {
+	li := Line{logarithmic: logarithmic}
+	var places, values []float64
 	for _, si := range list {
-		nodes = append(nodes, float64(si.Nodes))
+		places = append(places, li.place(si.Nodes))
 		values = append(values, quantity(si))
 	}
-	start, slope := stat.LinearRegression(nodes, values, nil, false)
-	return Line{start, slope}
+	li.Start, li.Slope = stat.LinearRegression(places, values, nil, false)
+	li.RSquared = stat.RSquared(places, values, nil, li.Start, li.Slope)
+	return li
 }
 
 // At returns the line's value at the number of nodes.
-func (li Line) At(nodes int) float64 { return li.Start + li.Slope*float64(nodes) }
+func (li Line) At(nodes int) float64 { return li.Start + li.Slope*li.place(nodes) }
+
+func (li Line) place(nodes int) float64 {
+	if li.logarithmic {
+		return math.Log(float64(nodes))
+	}
+	return float64(nodes)
+}
 
 // designNodes is the number of endpoints of the design size.
 const designNodes = 750
@@ -150,9 +164,11 @@
 	if len(fitted) < 2 {
 		return
 	}
-	row("\nquantity\tat N = 0\tper node\tat N = %d", designNodes)
+	row("\nquantity\tlinear: at 0\tper node\tat N = %d\tR2\tlogarithmic: at N = %d\tR2",
+		designNodes, designNodes)
 	for _, qu := range quantities {
-		li := Fit(fitted, qu.value)
-		row("%s\t%.3f\t%.4f\t%.2f", qu.name, li.Start, li.Slope, li.At(designNodes))
+		li, lg := Fit(fitted, qu.value, false), Fit(fitted, qu.value, true)
+		row("%s\t%.3f\t%.4f\t%.2f\t%.3f\t%.2f\t%.3f", qu.name, li.Start, li.Slope,
+			li.At(designNodes), li.RSquared, lg.At(designNodes), lg.RSquared)
 	}
 }
