Count what a data centre that is out runs, and the bytes of a change

The traffic during changes depends on how fast they follow each other, so the slopes give it for one change.

--- a/internal/measurer/centre.go
+++ b/internal/measurer/centre.go
@@ -12,6 +12,7 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 
+	"github.com/guavastall/guavastall/internal/targetserver"
 	"github.com/guavastall/guavastall/pkg/checker"
 	"github.com/guavastall/guavastall/pkg/operator"
 )
@@ -19,6 +20,9 @@
 // callTimeout is the deadline of each call during a data centre's move.
 const callTimeout = time.Second
 
+// settleTime is the time after which a data centre that is out gets no new work.
+const settleTime = 3 * time.Second
+
 // CentreMove is the service while a data centre leaves and returns.
 type CentreMove struct {
 	DataCentre checker.DataCentre `json:"dataCentre"`
@@ -29,6 +33,10 @@
 	// Out and In are the seconds in which the data centre left and came back.
 	Out int `json:"out"`
 	In  int `json:"in"`
+	// Before and Inside are the calls that ran at the data centre's targets before
+	// it left, and from settleTime after that until it came back.
+	Before int64 `json:"before"`
+	Inside int64 `json:"inside"`
 	// Stall is the longest time between two good answers.
 	Stall checker.Duration `json:"stall"`
 }
@@ -53,15 +61,9 @@
 		good  = make([]float64, 3*third)
 		ended []time.Time
 	)
-	marks := make(chan error, 2)
-	mark := func(second int, out bool) {
-		time.Sleep(time.Duration(second) * time.Second)
-		_, err := me.operatorOutside(dc).SetDataCentre(ctx, dc, out)
-		marks <- err
-	}
+	marks := make(chan error, 1)
 	began := time.Now()
-	go mark(mv.Out, true)
-	go mark(mv.In, false)
+	go func() { marks <- me.leaveAndReturn(ctx, mv, began) }()
 	for number := range int(rate * float64(3*third)) {
 		at := began.Add(time.Duration(float64(number) / rate * float64(time.Second)))
 		time.Sleep(time.Until(at))
@@ -80,10 +82,8 @@
 		})
 	}
 	open.Wait()
-	for range 2 {
-		if err := <-marks; err != nil {
-			return nil, fmt.Errorf("mark data centre %s: %w", dc, err)
-		}
+	if err := <-marks; err != nil {
+		return nil, fmt.Errorf("move data centre %s: %w", dc, err)
 	}
 	for second := range due {
 		mv.Shares = append(mv.Shares, good[second]/max(1, due[second]))
@@ -95,6 +95,55 @@
 	return mv, nil
 }
 
+// leaveAndReturn takes the data centre out and back in at the seconds of the
+// move, and counts the calls that its targets ran.
+func (me *Measurer) leaveAndReturn(ctx context.Context, mv *CentreMove, began time.Time) error {
+	at := func(second int) time.Time { return began.Add(time.Duration(second) * time.Second) }
+	start, err := me.ran(ctx, mv.DataCentre)
+	if err != nil {
+		return err
+	}
+	time.Sleep(time.Until(at(mv.Out)))
+	left, err := me.ran(ctx, mv.DataCentre)
+	if err != nil {
+		return err
+	}
+	mv.Before = left - start
+	cl := me.operatorOutside(mv.DataCentre)
+	if _, err := cl.SetDataCentre(ctx, mv.DataCentre, true); err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	if left, err = me.ran(ctx, mv.DataCentre); err != nil {
+		return err
+	}
+	time.Sleep(time.Until(at(mv.In)))
+	back, err := me.ran(ctx, mv.DataCentre)
+	if err != nil {
+		return err
+	}
+	mv.Inside = back - left
+	_, err = cl.SetDataCentre(ctx, mv.DataCentre, false)
+	return err
+}
+
+// ran returns the number of calls that the targets of the data centre ran.
+func (me *Measurer) ran(ctx context.Context, dc checker.DataCentre) (int64, error) {
+	total := int64(0)
+	for _, no := range me.deployment.Nodes {
+		if no.DataCentre != dc || !no.Target.IsValid() {
+			continue
+		}
+		var ex targetserver.Executions
+		url := "http://" + no.Target.String() + "/executions"
+		if err := me.get(ctx, http.MethodGet, url, &ex); err != nil {
+			return 0, fmt.Errorf("read the calls of target %v: %w", no.Target, err)
+		}
+		total += int64(ex.Calls)
+	}
+	return total, nil
+}
+
 // operatorOutside returns the client of a node in another data centre.
 func (me *Measurer) operatorOutside(dc checker.DataCentre) *operator.Client {
 	for _, no := range me.deployment.Nodes {
@@ -127,7 +176,8 @@
 		row("%s %s\tmean %.3f%%\tworst second %.3f%%\tof %.0f calls/s",
 			mv.DataCentre, ph.name, 100*mean, 100*least, mv.Rate)
 	}
-	row("longest stall\t%.0f ms", millis(mv.Stall))
+	row("longest stall\t%.0f ms\tcalls run in %s: %d before, %d while out",
+		millis(mv.Stall), mv.DataCentre, mv.Before, mv.Inside)
 }
 
 // Plot writes the shares by second as an SVG file.
--- a/internal/measurer/measurer_test.go
+++ b/internal/measurer/measurer_test.go
@@ -24,7 +24,7 @@
 
 var (
 	measures = flag.Bool("measures", false, "run the measures over real processes")
-	parts    = flag.String("parts", "added,slopes,deployments,rollouts", "parts of the measures to run")
+	parts    = flag.String("parts", "added,slopes,yaadgar,magnolia,rollouts", "parts of the measures to run")
 	sizes    = flag.String("sizes", "10,25,50,100,200", "numbers of nodes for the slopes")
 	seed     = flag.Uint64("seed", 1, "seed of the measurer's choices")
 	folder   = flag.String("folder", filepath.Join("..", "..", "measures"), "folder for reports")
@@ -110,9 +110,10 @@
 		switch part {
 		case "added":
 			t.Run(part, func(t *testing.T) { added(t, re) })
-		case "deployments":
-			t.Run("yaadgar", func(t *testing.T) { re.Deployments = append(re.Deployments, yaadgar(t)) })
-			t.Run("magnolia", func(t *testing.T) { re.Deployments = append(re.Deployments, magnolia(t)) })
+		case "yaadgar":
+			t.Run(part, func(t *testing.T) { re.Deployments = append(re.Deployments, yaadgar(t)) })
+		case "magnolia":
+			t.Run(part, func(t *testing.T) { re.Deployments = append(re.Deployments, magnolia(t)) })
 		case "slopes":
 			slopes(t, re)
 		case "rollouts":
@@ -256,8 +257,16 @@
 	var err error
 	si.Rest, err = me.Rest(ctx, restSpan)
 	require.NoError(t, err)
-	si.Convergence, err = me.Converge(ctx, 20, 100*time.Millisecond)
+	began := time.Now()
+	changes, err := me.Measure(ctx, func() error {
+		var err error
+		si.Convergence, err = me.Converge(ctx, 20, 100*time.Millisecond)
+		return err
+	})
 	require.NoError(t, err)
+	span := time.Since(began).Seconds()
+	si.BytesPerChange = (changes.BytesPerSecond - si.Rest.BytesPerSecond) * span /
+		float64(si.Convergence.Count)
 	si.Restart, err = me.Restart(ctx, 0.8)
 	require.NoError(t, err)
 	t.Logf("%+v", si)
--- a/internal/measurer/report.go
+++ b/internal/measurer/report.go
@@ -46,7 +46,9 @@
 	Settled     checker.Duration `json:"settled"`
 	Convergence Times            `json:"convergence"`
 	Rest        Usage            `json:"rest"`
-	Restart     Restart          `json:"restart"`
+	// BytesPerChange is the control traffic of a node for one change.
+	BytesPerChange float64 `json:"bytesPerChange"`
+	Restart        Restart `json:"restart"`
 }
 
 // Line is a straight line fitted to a quantity by the number of nodes or by its
@@ -92,6 +94,7 @@
 	{"control B/s per node", func(si Size) float64 { return si.Rest.BytesPerSecond }},
 	{"CPU per node, % of a core", func(si Size) float64 { return 100 * si.Rest.CPU }},
 	{"RSS, MB", func(si Size) float64 { return si.Rest.RSS / 1e6 }},
+	{"control B per node and change", func(si Size) float64 { return si.BytesPerChange }},
 	{"convergence median, ms", func(si Size) float64 { return millis(si.Convergence.Median) }},
 	{"convergence worst, ms", func(si Size) float64 { return millis(si.Convergence.Worst) }},
 	{"log reads/s", func(si Size) float64 { return si.Rest.LogReads }},
