Measure rollouts with a first step that short runs can pass

With a first share of 0.005 and 300 calls/s, a good move was still pending after 45 s with 22 calls exposed, and choosing the old version again ended it, so the second good move was none. The first share is now 0.05.

--- a/internal/measurer/measurer_test.go
+++ b/internal/measurer/measurer_test.go
@@ -287,7 +287,8 @@
 	}
 	doc := document(t, "yaadgar.json")
 	for name, pr := range doc.Profiles {
-		pr.Rollout.Steps = []float64{0.005, 0.05, 0.25, 1}
+		// With a first step of 0.005, 20 calls of one data centre took over 40 s.
+		pr.Rollout.Steps = []float64{0.05, 0.25, 1}
 		pr.Rollout.StepTime, pr.Rollout.MinCalls = checker.Duration(2*time.Second), 20
 		doc.Profiles[name] = pr
 	}
@@ -300,9 +301,12 @@
 			fault := []targetserver.Fault{{Kind: targetserver.FaultError}}
 			require.NoError(t, me.SetFaults(ctx, byVersion[to], fault))
 		}
-		ro, err := me.Roll(ctx, "tag", to, 300, 45*time.Second)
+		ro, err := me.Roll(ctx, "tag", to, 300, 75*time.Second)
 		require.NoError(t, err)
 		ro.Bad = bad
+		if bad {
+			require.NotEqual(t, "done", ro.Phase, "a failing version took over: %+v", ro)
+		}
 		re.Rollouts = append(re.Rollouts, ro)
 		t.Logf("%+v", ro)
 	}
