--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"bytes"
 	"flag"
 	"maps"
 	"math/rand/v2"
@@ -86,6 +87,7 @@
 func TestBadRecords(t *testing.T) {
 	st, _ := foldAll(t, &State{}, Record{ID: "a", Document: testDocument("v1")})
 	whole := mustEncode(t, Record{ID: "b", Base: 1, Document: testDocument("v2")})
+	changed := bytes.Replace(whole, []byte("steady"), []byte("stoady"), 2)
 	newer := slices.Clone(whole)
 	newer[1] = Format + 1
 	for _, tt := range []struct {
@@ -96,6 +98,7 @@
 		problem string
 	}{
 		{"torn", 1, whole[:len(whole)/2], nil, "incomplete or damaged"},
+		{"changed on the way", 1, changed, nil, "incomplete or damaged"},
 		{"empty", 1, nil, nil, "incomplete or damaged"},
 		{"newer format", 1, newer, ErrFormat, ""},
 		{"gap", 5, whole, ErrGap, ""},
@@ -134,9 +137,15 @@
 	require.True(t, re.Accepted)
 	require.Equal(t, Split{Old: "v1"}, st.Split("tag", "lahore"))
 
+	// The same document again, now that the log holds the facts.
+	st, re = foldAll(t, st, Record{
+		ID: "d", Base: 3, Document: testDocument("v2"), Facts: st.Unlogged(),
+	})
+	require.True(t, re.Accepted)
+	require.Equal(t, Split{Old: "v1"}, st.Split("tag", "lahore"))
+
 	st, _ = foldAll(t, st, Record{
-		ID: "d", Base: 3, Facts: st.Unlogged(),
-		Choose: &Choose{Service: "tag", Version: "v2"},
+		ID: "e", Base: 4, Choose: &Choose{Service: "tag", Version: "v2"},
 	})
 	require.Empty(t, st.Unlogged())
 	again := st.Split("tag", "lahore")
