Compare a rise of latency with at least 3 ms

Cause: a pause of a few milliseconds of a busy VM multiplies the latency of a 1 ms target; five such samples read as a target gone cold, and the limit fell from 20 slots to the initial 2, so calls were refused at less than one in flight on average. Tried first: the floor for falls too; every probe then seemed to help. Conclusion: only rises are compared with the floor.

--- a/internal/limiter/control.go
+++ b/internal/limiter/control.go
@@ -20,6 +20,10 @@
 	// sampleCap bounds the ratio of one sample, so that one outlier alone
 	// cannot reach latencyJump in a window.
 	sampleCap = 8
+	// latencyFloor bounds the reference that a rise is compared with. Pauses of
+	// a busy VM of a few milliseconds multiply the latency of a fast target
+	// without any overload.
+	latencyFloor = 3 * time.Millisecond
 	// failureRise is the increase of the failure share that counts as overload.
 	failureRise = 0.2
 	// failureJump is the increase of the failure share that counts as cold.
@@ -195,7 +199,11 @@
 	if ref.latency <= 0 {
 		return 1
 	}
-	return min(latency/ref.latency, sampleCap)
+	if latency <= ref.latency {
+		return latency / ref.latency
+	}
+	risen := latency / max(ref.latency, float64(latencyFloor))
+	return min(max(risen, 1), sampleCap)
 }
 
 // wentCold reports whether the window shows a jump of latency or failures at a
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -215,3 +216,28 @@
 		}
 	})
 }
+
+// Guards against a fast target whose limit falls to the initial one because the
+// VM pauses for a few milliseconds now and then.
+func TestPausesOfAFastTarget(t *testing.T) {
+	now := time.Unix(1000, 0)
+	li := New(Config{Slots: 20, Initial: 2})
+	rnd := rand.New(rand.NewPCG(1, 1))
+	for nn := range 20_000 {
+		now = now.Add(time.Millisecond)
+		taken := 0
+		for taken < 10 && li.Offer(now) {
+			taken++
+		}
+		latency := time.Millisecond + time.Duration(rnd.IntN(300))*time.Microsecond
+		if nn%100 < 2 {
+			latency = 5 * time.Millisecond
+		}
+		for range taken {
+			li.Done(Result{Status: OK, Route: "scan", Latency: latency}, now.Add(latency))
+		}
+		if nn > 2000 {
+			require.Greater(t, li.Limit(), 2, "after %d ms", nn)
+		}
+	}
+}
