--- a/internal/demonstrator/steps.go
+++ b/internal/demonstrator/steps.go
@@ -29,8 +29,8 @@
 		Profiles: map[string]checker.Profile{"quick": {
 			Routing: checker.Routing{LocalShare: 0.8, HealthyFloor: 0.5, Hedge: true},
 			Rollout: checker.Rollout{
-				Steps:            []float64{0.02, 0.2, 1},
-				StepTime:         checker.Duration(time.Second),
+				Steps:            []float64{0.02, 0.3, 1},
+				StepTime:         checker.Duration(500 * time.Millisecond),
 				MinCalls:         4,
 				MaxErrorIncrease: 0.02, MaxLatencyFactor: 2,
 				QuietAfter: checker.Duration(time.Minute),
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -45,8 +45,8 @@
 	// drainNotice is the time between the news of the drain and the first
 	// refusal; news reaches the members in less than a second.
 	drainNotice = time.Second
-	// operatorReadTime bounds the header of an operator's request.
-	operatorReadTime = 5 * time.Second
+	// operatorReadTime bounds the arrival of an operator's request.
+	operatorReadTime = 10 * time.Second
 )
 
 // Listeners are the sockets of a node.
@@ -306,7 +306,7 @@
 	return servers{
 		peers:     forwarder.NewServer(mux, nil),
 		callers:   forwarder.NewServer(no.forwarder.Callers(), nil),
-		operators: &http.Server{Handler: commands, ReadHeaderTimeout: operatorReadTime},
+		operators: &http.Server{Handler: commands, ReadTimeout: operatorReadTime},
 	}
 }
 
@@ -393,11 +393,6 @@
 	return ta
 }
 
-// Metrics returns the registry of the node's metrics.
-func (no *Node) Metrics() metrics.Registry {
-	return no.metrics
-}
-
 // String returns the node's address.
 func (no *Node) String() string {
 	return fmt.Sprint(no.settings.Self())
--- a/internal/runner/status.go
+++ b/internal/runner/status.go
@@ -64,7 +64,8 @@
 	for _, su := range no.aggregator.Summaries() {
 		dr := operator.DataCentreRevisions{
 			DataCentre: su.DataCentre, Nodes: su.Nodes, Minimum: su.Minimum,
-			Age: checker.Duration(now.Sub(su.AsOf)),
+			// The wall clocks of two nodes may differ.
+			Age: checker.Duration(max(0, now.Sub(su.AsOf))),
 		}
 		for _, ap := range su.Behind {
 			if ap.Revision < re {
