--- a/cmd/guavastall-standin/main.go
+++ b/cmd/guavastall-standin/main.go
@@ -1,10 +1,11 @@
-// Command guavastall-standin runs a stand-in of the platform's log or of a
-// target, for trying guavastall by hand and for its tests. It keeps everything
+// Command guavastall-standin runs a stand-in of the platform's log, of a target
+// or of callers, for trying guavastall by hand and for its tests. It keeps everything
 // in memory and is not meant for production.
 package main
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -18,6 +19,7 @@
 
 	"github.com/alexflint/go-arg"
 
+	"github.com/guavastall/guavastall/internal/loader"
 	"github.com/guavastall/guavastall/internal/logserver"
 	"github.com/guavastall/guavastall/internal/targetserver"
 	"github.com/guavastall/guavastall/pkg/checker"
@@ -29,6 +31,7 @@
 type arguments struct {
 	Log    *logCmd    `arg:"subcommand:log" help:"run the stand-in of the platform's log"`
 	Target *targetCmd `arg:"subcommand:target" help:"run the stand-in of a target"`
+	Load   *loadCmd   `arg:"subcommand:load" help:"make calls, check the responses and print a report"`
 }
 
 type command interface {
@@ -117,6 +120,31 @@
 	return serve(ctx, func() error { return target.Serve(ln) }, func() { _ = target.Close() })
 }
 
+type loadCmd struct {
+	Nodes    []netip.AddrPort `arg:"--node,required" help:"caller addresses of nodes, used in turn"`
+	Service  checker.Service  `arg:"--service,required" help:"service to call"`
+	Method   string           `arg:"--method" default:"GET" help:"HTTP method"`
+	Path     string           `arg:"--path" default:"/" help:"path of each call"`
+	Rate     float64          `arg:"--rate" default:"100" help:"calls per second"`
+	Duration time.Duration    `arg:"--duration" default:"10s" help:"length of the run"`
+	Timeout  time.Duration    `arg:"--timeout" default:"1s" help:"deadline of each call"`
+	Keyed    bool             `arg:"--keyed" help:"give each call an idempotency key"`
+}
+
+func (lc *loadCmd) run(ctx context.Context, stdout io.Writer) error {
+	lo, err := loader.New(loader.Config{
+		Nodes: lc.Nodes, Service: lc.Service, Method: lc.Method, Path: lc.Path,
+		Name: fmt.Sprintf("load%d", os.Getpid()), Rate: lc.Rate, Duration: lc.Duration,
+		Timeout: lc.Timeout, Keyed: lc.Keyed, Elsewhere: len(lc.Nodes) - 1,
+	})
+	if err != nil {
+		return err
+	}
+	enc := json.NewEncoder(stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(lo.Run(ctx))
+}
+
 // serve runs a server until the context ends and then closes it.
 func serve(ctx context.Context, run func() error, stop func()) error {
 	failed := make(chan error, 1)
