Share the settings of publish and choose; drop a needless wrapper

Cause: both commands declared base, ID and wait alike, and the node wrapped netip.AddrPort.Compare in a function of its own. Before and after: same flags, exit codes and answers; the tests of the command line, of racing operators over processes and of the runner pass, linter clean. Conclusion: no behaviour changed.

--- a/cmd/guavastall/commands.go
+++ b/cmd/guavastall/commands.go
@@ -104,14 +104,19 @@
 	return err
 }
 
-type publishCmd struct {
+// change holds the settings of the commands that change the configuration.
+type change struct {
 	remote
-	File string            `arg:"positional,required" help:"document in JSON"`
-	Base *checker.Revision `arg:"--base" help:"revision the document builds on [default: the one in force]"`
+	Base *checker.Revision `arg:"--base" help:"revision the change builds on [default: the one in force]"`
 	ID   string            `arg:"--id" help:"publication ID; repeat it to resend safely"`
 	Wait time.Duration     `arg:"--wait" help:"wait until it is in force everywhere, at most this long"`
 }
 
+type publishCmd struct {
+	change
+	File string `arg:"positional,required" help:"document in JSON"`
+}
+
 func (pc *publishCmd) run(ctx context.Context, stdout, stderr io.Writer) error {
 	cl, err := pc.client()
 	if err != nil {
@@ -188,14 +193,11 @@
 }
 
 type chooseCmd struct {
-	remote
-	Service  checker.Service   `arg:"positional,required" help:"service that chooses"`
-	Profile  string            `arg:"--profile" help:"profile to follow"`
-	Version  checker.Version   `arg:"--target-version" help:"target version to move to"`
-	Deadline string            `arg:"--by" help:"time or duration by which the move must be done"`
-	Base     *checker.Revision `arg:"--base" help:"revision the choice builds on [default: the one in force]"`
-	ID       string            `arg:"--id" help:"publication ID; repeat it to resend safely"`
-	Wait     time.Duration     `arg:"--wait" help:"wait until it is in force everywhere, at most this long"`
+	change
+	Service  checker.Service `arg:"positional,required" help:"service that chooses"`
+	Profile  string          `arg:"--profile" help:"profile to follow"`
+	Version  checker.Version `arg:"--target-version" help:"target version to move to"`
+	Deadline string          `arg:"--by" help:"time or duration by which the move must be done"`
 }
 
 func (cc *chooseCmd) run(ctx context.Context, stdout, stderr io.Writer) error {
--- a/internal/runner/status.go
+++ b/internal/runner/status.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"net/netip"
 	"runtime/metrics"
 	"slices"
 	"time"
@@ -114,7 +113,7 @@
 		})
 	}
 	slices.SortFunc(me.Members, func(ma, mb operator.Member) int {
-		return cmp.Or(cmp.Compare(ma.DataCentre, mb.DataCentre), compareNodes(ma.Node, mb.Node))
+		return cmp.Or(cmp.Compare(ma.DataCentre, mb.DataCentre), ma.Node.Compare(mb.Node))
 	})
 	for dc, count := range no.gossiper.Counts() {
 		me.DataCentres = append(me.DataCentres, operator.DataCentre{
@@ -127,10 +126,6 @@
 	return me
 }
 
-func compareNodes(na, nb netip.AddrPort) int {
-	return na.Compare(nb)
-}
-
 // registerMetrics adds gauges of the node's parts to the registry.
 func (no *Node) registerMetrics() {
 	gauge := func(name string, value func() int64) {
