--- a/cmd/guavastall/main.go
+++ b/cmd/guavastall/main.go
@@ -33,6 +33,7 @@
 // arguments are the command line; exactly one command is set.
 type arguments struct {
 	Node       *nodeCmd       `arg:"subcommand:node" help:"run a node beside a target"`
+	Sidecar    *sidecarCmd    `arg:"subcommand:sidecar" help:"run a node on a platform with a store"`
 	Check      *checkCmd      `arg:"subcommand:check" help:"check a document without publishing it"`
 	Publish    *publishCmd    `arg:"subcommand:publish" help:"publish a document"`
 	Choose     *chooseCmd     `arg:"subcommand:choose" help:"choose a profile or version for a service"`
--- /dev/null
+++ b/cmd/guavastall/sidecar.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/guavastall/guavastall/internal/answerer"
+	"github.com/guavastall/guavastall/internal/logkeeper"
+	"github.com/guavastall/guavastall/internal/meshrunner"
+	"github.com/guavastall/guavastall/platform"
+)
+
+// sidecarCmd runs a node on the users' platform.
+type sidecarCmd struct {
+	LogLevel string `arg:"--log-level,env:GUAVASTALL_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+}
+
+const (
+	// memoryPart is the part of the memory limit that the collector keeps to.
+	memoryPart = 0.7
+	// collectorTarget is the growth of the heap between collections in per cent.
+	collectorTarget = 200
+)
+
+// run runs the node until SIGTERM or SIGINT.
+func (sc *sidecarCmd) run(_ context.Context, stdout, _ io.Writer) error {
+	level, err := logrus.ParseLevel(sc.LogLevel)
+	if err != nil {
+		return answerer.Wrap(err, answerer.BadRequest, "--log-level")
+	}
+	se, err := platform.LoadSettings()
+	if err != nil {
+		return answerer.Wrap(err, answerer.BadRequest, "settings")
+	}
+	debug.SetGCPercent(collectorTarget)
+	if se.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(se.Memory)))
+	}
+	writer := logkeeper.NewWriter(stdout)
+	ctx, cancel := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go writer.Run(ctx, written)
+	defer func() {
+		cancel()
+		<-written
+	}()
+	log := logrus.New()
+	log.SetOutput(writer)
+	log.SetLevel(level)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	store := platform.NewStore(se.Store)
+	return meshrunner.New(se, meshrunner.Parts{
+		Decoder: platform.Operator{}, Names: platform.Headers(),
+		Operator: store.Operator(), Mesh: store.Mesh(), Status: store.Status(),
+		Control: func(ru *meshrunner.Runner) http.Handler { return platform.Control(ru) },
+		Ready:   func(ru *meshrunner.Runner) http.Handler { return platform.Ready(ru) },
+		Reload:  platform.LoadSettings,
+		Log:     log, Events: logkeeper.NewRequests(log),
+		Metrics: metrics.NewRegistry(), Now: time.Now,
+	}).Run(signals)
+}
--- /dev/null
+++ b/internal/admitter/admitter.go
@@ -0,0 +1,362 @@
+// Package admitter decides which request a target runs next, which wait, and
+// which are refused.
+//
+// A [Queue] answers three load patterns. When more requests arrive than the
+// slots of the target carry, they wait here and not in the target, the most
+// urgent first. When the wait would outlast a request, it is refused at once,
+// with the time after which room is expected. When the target is cold, requests
+// start no faster than its cold rate allows.
+package admitter
+
+import (
+	"cmp"
+	"time"
+)
+
+const (
+	// workWeight is the weight of the newest sample in the average work time.
+	workWeight = 0.1
+	// defaultWork stands for the work time before the first sample.
+	defaultWork = 100 * time.Millisecond
+	// minRetryAfter keeps refused callers from returning in the same instant.
+	minRetryAfter = 50 * time.Millisecond
+	// rateWindow is the sliding window of the cold rate, which is a rate per second.
+	rateWindow = time.Second
+	// lateShare is the share of the time between the objective and the deadline
+	// that a first-time request may be expected to need. One that returns after a
+	// refusal may use all of it, because it cannot return again.
+	lateShare = 0.5
+)
+
+// Request is what the queue needs to know of a request.
+type Request struct {
+	// Inner says that a request which already holds a slot elsewhere waits for it.
+	Inner bool
+	// Priority ranks requests; 0 is the most urgent.
+	Priority int
+	// Returning says that the request was refused before.
+	Returning bool
+	// Objective is until when a response has its full value.
+	Objective time.Time
+	// Deadline is when a response becomes useless.
+	Deadline time.Time
+	// Work is the expected time at the target.
+	Work time.Duration
+}
+
+// Ticket is a request in the queue or at the target.
+type Ticket[T any] struct {
+	Request
+	// Value is the owner's.
+	Value T
+
+	number uint64
+	queued bool
+}
+
+// Verdict is the answer to an offer.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Refused requests do not run.
+	Refused Verdict = iota
+	// Admitted requests hold a slot until Done.
+	Admitted
+	// Waiting requests are in the queue until a later change names them.
+	Waiting
+)
+
+// Change lists the waiting tickets that an event moved.
+type Change[T any] struct {
+	Admitted, Refused []*Ticket[T]
+}
+
+// Queue is the queue before one target. It is not safe for concurrent use.
+type Queue[T any] struct {
+	slots   int
+	running int
+	waiting []*Ticket[T]
+	numbers uint64
+	work    time.Duration
+
+	coldUntil time.Time
+	coldRate  float64
+	// starts are the admissions within the last rateWindow, oldest first.
+	starts []time.Time
+}
+
+// New returns a queue for a target with the slots.
+func New[T any](slots int) *Queue[T] {
+	return &Queue[T]{slots: slots}
+}
+
+// SetSlots sets the number of requests that the target runs at a time.
+func (qu *Queue[T]) SetSlots(slots int) {
+	qu.slots = slots
+}
+
+// SetCold limits admissions to the rate per second until the time.
+func (qu *Queue[T]) SetCold(until time.Time, rate float64) {
+	qu.coldUntil, qu.coldRate = until, rate
+}
+
+// Cold reports whether the target is cold.
+func (qu *Queue[T]) Cold(now time.Time) bool {
+	return now.Before(qu.coldUntil)
+}
+
+// Running returns the number of requests at the target.
+func (qu *Queue[T]) Running() int { return qu.running }
+
+// Len returns the number of waiting requests.
+func (qu *Queue[T]) Len() int { return len(qu.waiting) }
+
+// Slots returns the number of slots.
+func (qu *Queue[T]) Slots() int { return qu.slots }
+
+// Work returns the average time of a request at the target.
+func (qu *Queue[T]) Work() time.Duration {
+	if qu.work == 0 {
+		return defaultWork
+	}
+	return qu.work
+}
+
+// Offer decides on a request. The Change lists less urgent requests that no
+// longer fit.
+func (qu *Queue[T]) Offer(re Request, value T, now time.Time) (*Ticket[T], Verdict, Change[T]) {
+	qu.numbers++
+	ti := &Ticket[T]{Request: re, Value: value, number: qu.numbers}
+	if len(qu.waiting) == 0 && qu.free(now) {
+		qu.start(now)
+		return ti, Admitted, Change[T]{}
+	}
+	ahead := 0
+	for _, other := range qu.waiting {
+		if qu.compare(other, ti, now) < 0 {
+			ahead++
+		}
+	}
+	if now.Add(qu.waitFor(ahead, now)).After(qu.latestStart(ti)) {
+		return ti, Refused, Change[T]{}
+	}
+	ti.queued = true
+	qu.waiting = append(qu.waiting, ti)
+	return ti, Waiting, Change[T]{Refused: qu.evict(now)}
+}
+
+// Done ends an admitted request. The time at the target counts as a sample of
+// its work time if it is above zero.
+func (qu *Queue[T]) Done(worked time.Duration, now time.Time) Change[T] {
+	qu.running--
+	if worked > 0 {
+		if qu.work == 0 {
+			qu.work = worked
+		}
+		qu.work += time.Duration(workWeight * float64(worked-qu.work))
+	}
+	return qu.Advance(now)
+}
+
+// Advance admits waiting requests to free slots and refuses those whose time
+// no longer suffices.
+func (qu *Queue[T]) Advance(now time.Time) Change[T] {
+	var ch Change[T]
+	for len(qu.waiting) > 0 && qu.free(now) {
+		best := qu.best(now)
+		ti := qu.remove(best)
+		if now.After(qu.lastUsefulStart(ti)) {
+			ch.Refused = append(ch.Refused, ti)
+			continue
+		}
+		qu.start(now)
+		ch.Admitted = append(ch.Admitted, ti)
+	}
+	ch.Refused = append(ch.Refused, qu.evict(now)...)
+	return ch
+}
+
+// Leave takes a waiting request out and reports whether it was waiting.
+func (qu *Queue[T]) Leave(ti *Ticket[T]) bool {
+	for nn, other := range qu.waiting {
+		if other == ti {
+			qu.remove(nn)
+			return true
+		}
+	}
+	return false
+}
+
+// Clear takes all waiting requests out.
+func (qu *Queue[T]) Clear() []*Ticket[T] {
+	all := qu.waiting
+	qu.waiting = nil
+	for _, ti := range all {
+		ti.queued = false
+	}
+	return all
+}
+
+// RetryAfter is when room for another request of the priority is expected.
+func (qu *Queue[T]) RetryAfter(re Request, now time.Time) time.Duration {
+	ahead := 0
+	for _, other := range qu.waiting {
+		if rank(&other.Request) <= rank(&re) {
+			ahead++
+		}
+	}
+	return max(qu.waitFor(ahead, now), minRetryAfter)
+}
+
+// NextStart returns when the cold rate allows the next admission, and whether
+// a waiting request depends on it.
+func (qu *Queue[T]) NextStart(now time.Time) (time.Time, bool) {
+	if len(qu.waiting) == 0 || qu.running >= qu.slots {
+		return time.Time{}, false
+	}
+	return now.Add(qu.coldWait(0, now)), true
+}
+
+// Delay is how long a new request of average urgency would wait.
+func (qu *Queue[T]) Delay(now time.Time) time.Duration {
+	if len(qu.waiting) == 0 && qu.free(now) {
+		return 0
+	}
+	return qu.waitFor(len(qu.waiting), now)
+}
+
+func (qu *Queue[T]) start(now time.Time) {
+	qu.running++
+	qu.starts = append(qu.trimmed(now), now)
+}
+
+// trimmed returns the admissions that still count.
+func (qu *Queue[T]) trimmed(now time.Time) []time.Time {
+	nn := 0
+	for nn < len(qu.starts) && now.Sub(qu.starts[nn]) >= rateWindow {
+		nn++
+	}
+	return append(qu.starts[:0], qu.starts[nn:]...)
+}
+
+// free reports whether a request may start now.
+func (qu *Queue[T]) free(now time.Time) bool {
+	return qu.running < qu.slots && qu.coldWait(0, now) == 0
+}
+
+// coldWait is how long the cold rate holds back a request behind others.
+func (qu *Queue[T]) coldWait(ahead int, now time.Time) time.Duration {
+	if !now.Before(qu.coldUntil) || qu.coldRate <= 0 {
+		return 0
+	}
+	burst := max(int(qu.coldRate), 1)
+	recent := qu.trimmed(now)
+	qu.starts = recent
+	over := len(recent) + ahead - burst
+	if over < 0 {
+		return 0
+	}
+	if over < len(recent) {
+		return recent[over].Add(rateWindow).Sub(now)
+	}
+	return time.Duration(float64(over+1) / qu.coldRate * float64(time.Second))
+}
+
+// waitFor is the expected wait behind a number of waiting requests.
+func (qu *Queue[T]) waitFor(ahead int, now time.Time) time.Duration {
+	wait := time.Duration(0)
+	if qu.running >= qu.slots || ahead > 0 {
+		wait = qu.Work() * time.Duration(ahead+1) / time.Duration(max(qu.slots, 1))
+	}
+	return max(wait, qu.coldWait(ahead, now))
+}
+
+// latestStart is the latest expected start at which a request is let wait.
+func (qu *Queue[T]) latestStart(ti *Ticket[T]) time.Time {
+	last := qu.lastUsefulStart(ti)
+	if ti.Returning || ti.Inner {
+		return last
+	}
+	late := time.Duration(lateShare * float64(ti.Deadline.Sub(ti.Objective)))
+	if bound := ti.Objective.Add(late - ti.Work); bound.Before(last) {
+		return bound
+	}
+	return last
+}
+
+// lastUsefulStart is the latest start from which the response meets the deadline.
+func (qu *Queue[T]) lastUsefulStart(ti *Ticket[T]) time.Time {
+	return ti.Deadline.Add(-ti.Work)
+}
+
+// evict removes the waiting requests that are not expected to start in time.
+func (qu *Queue[T]) evict(now time.Time) []*Ticket[T] {
+	var out []*Ticket[T]
+	for nn := 0; nn < len(qu.waiting); nn++ {
+		ti := qu.waiting[nn]
+		ahead := 0
+		for _, other := range qu.waiting {
+			if other != ti && qu.compare(other, ti, now) < 0 {
+				ahead++
+			}
+		}
+		if now.Add(qu.waitFor(ahead, now)).After(qu.lastUsefulStart(ti)) {
+			out = append(out, qu.remove(nn))
+			nn--
+		}
+	}
+	return out
+}
+
+func (qu *Queue[T]) best(now time.Time) int {
+	best := 0
+	for nn := range qu.waiting {
+		if qu.compare(qu.waiting[nn], qu.waiting[best], now) < 0 {
+			best = nn
+		}
+	}
+	return best
+}
+
+func (qu *Queue[T]) remove(nn int) *Ticket[T] {
+	ti := qu.waiting[nn]
+	qu.waiting = append(qu.waiting[:nn], qu.waiting[nn+1:]...)
+	ti.queued = false
+	return ti
+}
+
+// rank orders by urgency: inner requests first, then by priority.
+func rank(re *Request) int {
+	if re.Inner {
+		return -1
+	}
+	return re.Priority
+}
+
+// compare orders waiting requests: by rank; those that can still meet their
+// objective before those that cannot; returning ones before new ones; then by
+// arrival.
+func (qu *Queue[T]) compare(a, b *Ticket[T], now time.Time) int {
+	return cmp.Or(
+		cmp.Compare(rank(&a.Request), rank(&b.Request)),
+		compareBool(late(a, now), late(b, now)),
+		compareBool(b.Returning, a.Returning),
+		cmp.Compare(a.number, b.number),
+	)
+}
+
+func late[T any](ti *Ticket[T], now time.Time) bool {
+	return now.Add(ti.Work).After(ti.Objective)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
--- /dev/null
+++ b/internal/carrier/events.go
@@ -0,0 +1,94 @@
+package carrier
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/guavastall/guavastall/internal/retrier"
+)
+
+// sampleSize and sampleAlpha are the usual settings of a decaying reservoir.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// instruments are the counters and histograms of a carrier.
+type instruments struct {
+	served, refused, unknown, failed, refusedHere metrics.Counter
+	// latency is from arrival to answer, atTarget the target's part, both in
+	// microseconds.
+	latency, atTarget metrics.Histogram
+}
+
+func newInstruments(re metrics.Registry) instruments {
+	histogram := func(name string) metrics.Histogram {
+		return metrics.GetOrRegisterHistogram(name, re,
+			metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}
+	counter := func(name string) metrics.Counter {
+		return metrics.GetOrRegisterCounter(name, re)
+	}
+	return instruments{
+		served: counter("requests.served"), refused: counter("requests.refused"),
+		unknown: counter("requests.unknown"), failed: counter("requests.failed"),
+		refusedHere: counter("gate.refused"),
+		latency:     histogram("requests.latencyMicros"),
+		atTarget:    histogram("target.latencyMicros"),
+	}
+}
+
+func (in *instruments) request(rs *result, served bool, took time.Duration) {
+	in.latency.Update(took.Microseconds())
+	switch {
+	case served:
+		in.served.Inc(1)
+	case rs.outcome == retrier.NotRun:
+		in.refused.Inc(1)
+	case rs.outcome == retrier.Unknown:
+		in.unknown.Inc(1)
+	default:
+		in.failed.Inc(1)
+	}
+}
+
+// event logs a decision on a request if the log wants it.
+func (ca *Carrier) event(failed bool, name string, rq *request, fields func() map[string]any) {
+	if !ca.log.Wants(failed, ca.config.Now()) {
+		return
+	}
+	ca.log.Event(Event{Name: name, ID: rq.id, Failed: failed, Fields: fields()})
+}
+
+// requestFields are the fields of the line at the end of a request.
+func requestFields(
+	rq *request, vi *View, rs *result, took time.Duration,
+) map[string]any {
+	fields := map[string]any{
+		"outcome": rs.outcome.String(), "tookMs": took.Milliseconds(),
+		"leftMs": rq.deadline.Sub(rq.arrived).Milliseconds(),
+	}
+	if vi != nil {
+		fields["config"] = vi.Config.Version
+	}
+	if rq.route != nil {
+		fields["route"] = rq.route.Name
+	}
+	if rq.target != "" {
+		fields["target"] = rq.target
+	}
+	if rq.inner {
+		fields["inner"] = true
+	}
+	if rq.returning {
+		fields["returning"] = true
+	}
+	if rs.response != nil {
+		fields["status"] = rs.response.status
+	} else {
+		fields["kind"], fields["detail"] = rs.kind.String(), rs.detail
+		fields["retryMs"] = rs.retryAfter.Milliseconds()
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/carrier/first.go
@@ -0,0 +1,492 @@
+package carrier
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/guavastall/guavastall/internal/answerer"
+	"github.com/guavastall/guavastall/internal/budgeter"
+	"github.com/guavastall/guavastall/internal/matcher"
+	"github.com/guavastall/guavastall/internal/placer"
+	"github.com/guavastall/guavastall/internal/retrier"
+	"github.com/guavastall/guavastall/internal/stager"
+	"github.com/guavastall/guavastall/internal/stripper"
+)
+
+const (
+	// maxPlacements bounds the targets whose nodes are asked for one request. A
+	// refusal by a node costs a round trip and does not reach the target.
+	maxPlacements = 4
+	// maxRetryPart is the part of the remaining time up to which clients wait
+	// before they return.
+	maxRetryPart = 1.0 / 3
+	// minRetryAfter and defaultRetryAfter bound what refused clients are told.
+	minRetryAfter     = 50 * time.Millisecond
+	defaultRetryAfter = 250 * time.Millisecond
+	// retrySpread spreads the return of clients that were refused together.
+	retrySpread = 0.2
+	// freshReport is the age up to which a reported wait is reason enough to
+	// refuse a request without asking.
+	freshReport = 200 * time.Millisecond
+)
+
+// journey is a request on its way through the first node.
+type journey struct {
+	*Carrier
+	rq       *request
+	view     *View
+	part     matcher.Part
+	next     bool
+	tried    []string
+	placed   int
+	reached  int
+	last     *result
+	soonest  time.Duration
+	lastNode string
+}
+
+// Clients returns the handler for clients and for the target next to the node.
+func (ca *Carrier) Clients() http.Handler {
+	return http.HandlerFunc(ca.serveClient)
+}
+
+// serveClient is the first node of a request.
+func (ca *Carrier) serveClient(w http.ResponseWriter, r *http.Request) {
+	ca.inFlight.Add(1)
+	defer ca.inFlight.Add(-1)
+	now := ca.config.Now()
+	w.Header()["Date"] = nil
+	if ca.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	vi := ca.view.Load()
+	rq, err := ca.parse(r, bodyLimit(vi), now)
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		ca.reject(w, r.Header.Get(ca.config.Names.RequestID), err)
+		return
+	}
+	if vi == nil {
+		ca.finish(w, rq, vi, refusal(answerer.NotReady, "no configuration yet", defaultRetryAfter))
+		return
+	}
+	rq.route = vi.Config.Match(hostName(rq.host), rq.path())
+	if rq.route == nil {
+		ca.finish(w, rq, vi, refusal(answerer.NoRoute, "no route matches the host and path", 0))
+		return
+	}
+	ca.complete(rq, r)
+	jo := &journey{Carrier: ca, rq: rq, view: vi}
+	rs := jo.run(r.Context())
+	ca.finish(w, rq, vi, rs)
+}
+
+// path returns the path of the request without its query.
+func (rq *request) path() string {
+	path, _, _ := strings.Cut(rq.uri, "?")
+	return path
+}
+
+func bodyLimit(vi *View) int64 {
+	if vi == nil || vi.Config.Limits.BodyBytes <= 0 {
+		return defaultBodyBytes
+	}
+	return vi.Config.Limits.BodyBytes
+}
+
+// complete fills in what follows from the route and the sender.
+func (ca *Carrier) complete(rq *request, r *http.Request) {
+	rq.caller = ca.config.Caller()
+	rq.inner = remoteIP(r) == ca.config.Self.Addr()
+	left := rq.route.Timeout
+	if !rq.deadline.IsZero() {
+		left = rq.deadline.Sub(rq.arrived)
+	}
+	objective := rq.route.Objective
+	if !rq.inner {
+		usual := ca.usualTime(rq.route.Name, left)
+		rq.returning = float64(left) < returningPart*float64(usual)
+		objective -= usual - left
+	}
+	rq.objective = rq.arrived.Add(objective)
+	rq.deadline = rq.arrived.Add(min(left, rq.route.Timeout))
+}
+
+// usualTime returns the longest time that clients of the route came with.
+func (ca *Carrier) usualTime(route string, left time.Duration) time.Duration {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	usual := max(ca.longest[route], left)
+	ca.longest[route] = usual
+	return usual
+}
+
+// run makes attempts until one settles the request.
+func (jo *journey) run(ctx context.Context) *result {
+	now := jo.config.Now()
+	jo.choosePart(now)
+	for {
+		now = jo.config.Now()
+		if !now.Before(jo.rq.deadline) {
+			return jo.give(expiredResult("the time ran out before an attempt"))
+		}
+		ch, rs := jo.place(now)
+		if rs != nil {
+			return jo.give(rs)
+		}
+		rs = jo.attempt(ctx, ch)
+		if jo.settled(ctx, rs) {
+			return jo.give(rs)
+		}
+		jo.last = rs
+		if vi := jo.Carrier.view.Load(); vi != nil {
+			jo.view = vi
+		}
+	}
+}
+
+func expiredResult(detail string) *result {
+	return &result{outcome: retrier.Unknown, kind: answerer.DeadlineExceeded, detail: detail}
+}
+
+// give returns the result that the client gets: a target's own answer rather
+// than none, and a refusal only if nothing may have run.
+func (jo *journey) give(rs *result) *result {
+	if jo.last != nil && rs.response == nil {
+		switch {
+		case jo.last.response != nil:
+			return jo.last
+		case jo.last.outcome == retrier.Unknown:
+			return jo.last
+		}
+	}
+	if rs.outcome == retrier.NotRun && jo.soonest > 0 {
+		rs.retryAfter = jo.soonest
+	}
+	return rs
+}
+
+// choosePart assigns the request to a service and a version.
+func (jo *journey) choosePart(now time.Time) {
+	jo.mu.Lock()
+	defer jo.mu.Unlock()
+	jo.part = jo.splitter.Next(jo.rq.route)
+	jo.budget(jo.part.Service).Request(now)
+	ve := jo.view.Versions[jo.part.Service]
+	if ve.Next == "" {
+		delete(jo.versions, jo.part.Service)
+		return
+	}
+	credit, ok := jo.versions[jo.part.Service]
+	if !ok {
+		credit = rand.Float64() //nolint:gosec // spreads nodes, no secret
+	}
+	credit += ve.Share
+	if credit >= 1 {
+		credit--
+		jo.next = true
+	}
+	jo.versions[jo.part.Service] = credit
+}
+
+// budget returns the budget of the service; the caller holds the lock.
+func (ca *Carrier) budget(service string) *budgeter.Budget {
+	bu := ca.budgets[service]
+	if bu == nil {
+		bu = budgeter.New(ca.config.Budget)
+		ca.budgets[service] = bu
+	}
+	return bu
+}
+
+// place chooses the target of the next attempt, or returns a refusal.
+func (jo *journey) place(now time.Time) (placer.Choice, *result) {
+	if jo.placed >= maxPlacements {
+		return placer.Choice{}, refusal(answerer.Overloaded, "every target asked refused", 0)
+	}
+	targets := jo.candidates()
+	jo.mu.Lock()
+	ch, ok := jo.placer.Pick(targets, placer.Request{
+		DataCentre: jo.config.DataCentre, Own: jo.config.Self,
+		Objective: jo.rq.objective.Sub(now), Tried: jo.tried,
+	}, now)
+	jo.mu.Unlock()
+	if !ok {
+		if len(jo.tried) > 0 {
+			return ch, refusal(answerer.Overloaded, "no further target", 0)
+		}
+		return ch, refusal(answerer.NoTarget, "the service has no usable target", 0)
+	}
+	if ch.Age >= 0 && ch.Age < freshReport && now.Add(ch.Wait).After(jo.rq.deadline) {
+		return ch, refusal(answerer.Overloaded, "no target has room in time", ch.Wait)
+	}
+	return ch, nil
+}
+
+// candidates returns the targets that the request may go to.
+func (jo *journey) candidates() []placer.Target {
+	ve := jo.view.Versions[jo.part.Service]
+	all := jo.view.Targets[jo.part.Service]
+	chosen := make([]placer.Target, 0, len(all))
+	var other []placer.Target
+	for nn := range all {
+		ta := &all[nn]
+		if jo.view.Out[ta.DataCentre] || !ve.Allows(ta.Version) {
+			continue
+		}
+		if ve.Next != "" && (ta.Version == ve.Next) != jo.next {
+			other = append(other, ta.Target)
+			continue
+		}
+		chosen = append(chosen, ta.Target)
+	}
+	if untried(chosen, jo.tried) || ve.Strict || !jo.next && ve.Next != "" {
+		return chosen
+	}
+	return append(chosen, other...)
+}
+
+// untried reports whether a target of the list was not tried yet.
+func untried(targets []placer.Target, tried []string) bool {
+	for nn := range targets {
+		found := false
+		for _, id := range tried {
+			found = found || id == targets[nn].ID
+		}
+		if !found {
+			return true
+		}
+	}
+	return false
+}
+
+// attempt sends the request to the target's node.
+func (jo *journey) attempt(ctx context.Context, ch placer.Choice) *result {
+	now := jo.config.Now()
+	jo.placed++
+	jo.tried = append(jo.tried, ch.Target.ID)
+	jo.rq.target = ch.Target.ID
+	jo.lastNode = ch.Target.Node.Addr().String()
+	jo.mu.Lock()
+	jo.placer.Begin(ch.Target.ID, now)
+	jo.mu.Unlock()
+	var rs *result
+	if ch.Target.Node == jo.config.Self {
+		rs = jo.runLocal(ctx, jo.rq)
+	} else {
+		rs = jo.runRemote(ctx, ch.Target)
+	}
+	jo.note(ch.Target, rs)
+	return rs
+}
+
+// note takes what an attempt has shown of the target and its node.
+func (jo *journey) note(ta placer.Target, rs *result) {
+	now := jo.config.Now()
+	jo.mu.Lock()
+	defer jo.mu.Unlock()
+	jo.placer.End(ta.ID, rs.report, now)
+	if rs.nodeLost {
+		jo.placer.Unreachable(ta.Node, now)
+	}
+	if rs.outcome == retrier.NotRun && !rs.reached && rs.kind != answerer.Cancelled {
+		jo.placer.Avoid(ta.ID, max(rs.retryAfter, minRetryAfter), now)
+	}
+	if rs.reached {
+		jo.reached++
+	}
+	if rs.retryAfter > 0 && (jo.soonest == 0 || rs.retryAfter < jo.soonest) {
+		jo.soonest = rs.retryAfter
+	}
+}
+
+// settled reports whether the attempt ends the request.
+func (jo *journey) settled(ctx context.Context, rs *result) bool {
+	if ctx.Err() != nil || rs.kind == answerer.Cancelled {
+		return true
+	}
+	safe := jo.rq.route.Kind == matcher.Idempotent
+	switch {
+	case rs.outcome == retrier.Answered && !rs.failed():
+		return true
+	case rs.outcome != retrier.NotRun && !safe:
+		return true
+	case !rs.reached && rs.outcome == retrier.NotRun:
+		return false // it cost the target nothing
+	}
+	return !jo.mayRepeat(rs)
+}
+
+// mayRepeat decides whether a request that reached a target goes to another.
+func (jo *journey) mayRepeat(rs *result) bool {
+	now := jo.config.Now()
+	work := jo.expectedWork(jo.rq)
+	if jo.reached >= jo.rq.route.Attempts || now.Add(work).After(jo.rq.deadline) {
+		return false
+	}
+	jo.mu.Lock()
+	allowed := jo.budget(jo.part.Service).Take(jo.view.Nodes, now)
+	jo.mu.Unlock()
+	jo.event(true, "repeat", jo.rq, func() map[string]any {
+		return map[string]any{
+			"allowed": allowed, "outcome": rs.outcome.String(), "kind": rs.kind.String(),
+			"target": jo.rq.target, "attempt": jo.reached, "service": jo.part.Service,
+		}
+	})
+	return allowed
+}
+
+// runRemote sends the request to another node.
+func (jo *journey) runRemote(ctx context.Context, ta placer.Target) *result {
+	na := &jo.config.Names
+	rq := jo.rq
+	now := jo.config.Now()
+	re, sent, err := jo.pool(ta.Node).send(ctx, &exchange{
+		id: rq.id, idName: na.RequestID, method: rq.method, uri: rq.uri, host: rq.host,
+		header: rq.header, body: rq.body, until: rq.deadline.Add(2 * answerSlack),
+		extra: [][2]string{
+			{na.Timeout, milliseconds(rq.deadline.Sub(now))}, {na.Caller, rq.caller},
+			{headerHop, rq.encodeHop(ta.ID, now)},
+		},
+	}, jo.config.Now)
+	switch {
+	case err != nil && !sent:
+		rs := refusal(answerer.NoTarget, err.Error(), 0)
+		rs.nodeLost = ctx.Err() == nil
+		return rs
+	case err != nil:
+		rs := &result{
+			outcome: retrier.Unknown, kind: answerer.OutcomeUnknown, detail: err.Error(),
+			reached: true,
+		}
+		switch {
+		case ctx.Err() != nil:
+			rs.kind = answerer.Cancelled
+		case isTimeout(err) && !jo.config.Now().Before(rq.deadline):
+			rs.kind = answerer.DeadlineExceeded
+		default:
+			rs.nodeLost = true
+		}
+		return rs
+	}
+	return fromNode(re)
+}
+
+// fromNode reads the response of another node.
+func fromNode(re *response) *result {
+	report := decodeLoad(re.header.Get(headerLoad))
+	if text := re.header.Get(headerRefused); text != "" {
+		parts := strings.Split(text, " ")
+		rs := refusal(answerer.Overloaded, "the target's node refused", 0)
+		rs.report = report
+		if ki, ok := answerer.ParseKind(parts[0]); ok {
+			rs.kind = ki
+		}
+		if len(parts) > 1 {
+			if ms, err := strconv.Atoi(parts[1]); err == nil {
+				rs.retryAfter = time.Duration(ms) * time.Millisecond
+			}
+		}
+		rs.reached = len(parts) > 2
+		return rs
+	}
+	if text := re.header.Get(headerUnknown); text != "" {
+		rs := &result{
+			outcome: retrier.Unknown, kind: answerer.OutcomeUnknown, reached: true,
+			detail: "the target's node does not know the outcome", report: report,
+		}
+		if ki, ok := answerer.ParseKind(text); ok {
+			rs.kind = ki
+		}
+		return rs
+	}
+	delete(re.header, headerLoad)
+	return &result{outcome: retrier.Answered, response: re, reached: true, report: report}
+}
+
+// finish answers the client.
+func (ca *Carrier) finish(w http.ResponseWriter, rq *request, vi *View, rs *result) {
+	took := ca.config.Now().Sub(rq.arrived)
+	served := rs.outcome == retrier.Answered && rs.response.status < 400
+	ca.metrics.request(rs, served, took)
+	ca.event(!served, "request", rq, func() map[string]any {
+		return requestFields(rq, vi, rs, took)
+	})
+	if rs.outcome == retrier.Answered {
+		writeResponse(w, rs.response)
+		return
+	}
+	header := w.Header()
+	header[ca.config.Names.RequestID] = []string{rq.id}
+	an := rs.kind.Answer()
+	status := an.Status
+	if rs.kind == answerer.DeadlineExceeded && rs.outcome == retrier.NotRun {
+		status = http.StatusServiceUnavailable
+	}
+	if status == http.StatusServiceUnavailable {
+		header.Set("Retry-After", retryAfter(rs.retryAfter, rq, ca.config.Now()))
+	}
+	header.Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
+
+// retryAfter formats when a refused client may return: when room is expected,
+// within the time up to which clients wait, and not all at once.
+func retryAfter(wait time.Duration, rq *request, now time.Time) string {
+	if wait <= 0 {
+		wait = defaultRetryAfter
+	}
+	wait = time.Duration(float64(wait) * (1 + retrySpread*rand.Float64()))
+	if !rq.deadline.IsZero() {
+		wait = min(wait, time.Duration(maxRetryPart*float64(rq.deadline.Sub(now))))
+	}
+	wait = max(wait, minRetryAfter)
+	return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
+}
+
+// reject answers a request that could not be read.
+func (ca *Carrier) reject(w http.ResponseWriter, id string, err error) {
+	ki := answerer.KindOf(err)
+	ca.event(true, "reject", &request{id: id}, func() map[string]any {
+		return map[string]any{"kind": ki.String(), "detail": err.Error()}
+	})
+	if id != "" {
+		w.Header()[ca.config.Names.RequestID] = []string{id}
+	}
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(ki.Answer().Status)
+}
+
+// writeResponse writes a target's response.
+func writeResponse(w http.ResponseWriter, re *response) {
+	header := w.Header()
+	hop := stripper.Of(re.header)
+	for name, values := range re.header {
+		if !hop.Has(name) {
+			header[name] = values
+		}
+	}
+	if header["Content-Length"] == nil && bodyAllowed(re.status) {
+		header["Content-Length"] = []string{strconv.Itoa(len(re.body))}
+	}
+	w.WriteHeader(re.status)
+	_, err := w.Write(re.body)
+	if err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		panic(http.ErrAbortHandler) // the client is gone
+	}
+}
+
+func bodyAllowed(status int) bool {
+	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// Evidence returns what the gate has seen of its target, for the rollout of its
+// version.
+func (ca *Carrier) Evidence() (total, recent map[string]stager.Tally) {
+	return ca.gate.Tallies()
+}
--- /dev/null
+++ b/internal/carrier/last.go
@@ -0,0 +1,274 @@
+package carrier
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/guavastall/guavastall/internal/answerer"
+	"github.com/guavastall/guavastall/internal/placer"
+	"github.com/guavastall/guavastall/internal/retrier"
+	"github.com/guavastall/guavastall/internal/stager"
+)
+
+// answerSlack is how long past the deadline a node waits for the target's own
+// answer, which it gives at the deadline.
+const answerSlack = 60 * time.Millisecond
+
+// Nodes returns the handler for requests from other nodes.
+func (ca *Carrier) Nodes() http.Handler {
+	return http.HandlerFunc(ca.serveNode)
+}
+
+// IsHop reports whether another node sent the request on behalf of a client.
+func (ca *Carrier) IsHop(r *http.Request) bool {
+	return len(r.Header[headerHop]) > 0
+}
+
+// serveNode is the last node of a request from another node.
+func (ca *Carrier) serveNode(w http.ResponseWriter, r *http.Request) {
+	now := ca.config.Now()
+	vi := ca.view.Load()
+	rq, err := ca.parse(r, bodyLimit(vi), now)
+	if err == nil {
+		err = rq.decodeHop(r.Header.Get(headerHop), now)
+	}
+	if err != nil {
+		ca.answerNode(w, r.Header.Get(ca.config.Names.RequestID),
+			refusal(answerer.KindOf(err), err.Error(), 0))
+		return
+	}
+	rq.caller = r.Header.Get(ca.config.Names.Caller)
+	if vi == nil {
+		ca.answerNode(w, rq.id, refusal(answerer.NotReady, "no configuration yet", unverifiedRetry))
+		return
+	}
+	rq.route = vi.Config.Match(hostName(rq.host), rq.path())
+	rs := ca.runLocal(r.Context(), rq)
+	ca.answerNode(w, rq.id, rs)
+}
+
+// runLocal admits the request to the target next to the node and runs it.
+func (ca *Carrier) runLocal(ctx context.Context, rq *request) *result {
+	work := ca.expectedWork(rq)
+	began := ca.config.Now()
+	id, rs := ca.gate.enter(ctx, rq, work)
+	if rs != nil {
+		rs.report = ca.gate.load()
+		ca.metrics.refusedHere.Inc(1)
+		ca.event(true, "refuse", rq, func() map[string]any {
+			return map[string]any{
+				"kind": rs.kind.String(), "detail": rs.detail, "target": rq.target,
+				"waitedMs": ca.config.Now().Sub(began).Milliseconds(),
+				"running":  rs.report.Running, "waiting": rs.report.Waiting,
+				"workMs": work.Milliseconds(), "retryMs": rs.retryAfter.Milliseconds(),
+			}
+		})
+		return rs
+	}
+	rs = ca.runTarget(ctx, rq, id)
+	rs.report = ca.gate.load()
+	return rs
+}
+
+// runTarget sends an admitted request to the target and gives its slot back.
+func (ca *Carrier) runTarget(ctx context.Context, rq *request, id string) *result {
+	if rs := ca.gate.recheck(id); rs != nil {
+		ca.gate.exit(0)
+		return rs
+	}
+	na := &ca.config.Names
+	began := ca.config.Now()
+	left := rq.deadline.Sub(began)
+	if left <= 0 {
+		ca.gate.exit(0)
+		return refusal(answerer.DeadlineExceeded, "no time left at the target", 0)
+	}
+	re, sent, err := ca.gate.pool.send(ctx, &exchange{
+		id: rq.id, idName: na.RequestID, method: rq.method, uri: rq.uri, host: rq.host,
+		header: rq.header, body: rq.body, until: rq.deadline.Add(answerSlack),
+		extra: [][2]string{
+			{na.Timeout, milliseconds(left)}, {na.Expected, id}, {na.Caller, rq.caller},
+		},
+	}, ca.config.Now)
+	took := ca.config.Now().Sub(began)
+	rs := ca.classify(ctx, re, sent, err)
+	worked := took
+	if rs.outcome != retrier.Answered {
+		worked = 0
+	}
+	ca.gate.exit(worked)
+	ca.learn(rq, rs, took, began)
+	return rs
+}
+
+// classify turns what came of an exchange with the target into a result.
+func (ca *Carrier) classify(ctx context.Context, re *response, sent bool, err error) *result {
+	na := &ca.config.Names
+	switch {
+	case err != nil && !sent:
+		if errors.Is(err, errDial) {
+			ca.gate.Doubt()
+		}
+		return refusal(answerer.NoTarget, err.Error(), unverifiedRetry)
+	case err != nil:
+		rs := &result{
+			outcome: retrier.Unknown, kind: answerer.OutcomeUnknown, detail: err.Error(),
+			reached: true,
+		}
+		switch {
+		case ctx.Err() != nil:
+			rs.kind = answerer.Cancelled
+		case isTimeout(err):
+			rs.kind = answerer.DeadlineExceeded
+		}
+		return rs
+	case re.status == http.StatusMisdirectedRequest:
+		ca.gate.Doubt()
+		return &result{
+			outcome: retrier.NotRun, kind: answerer.NoTarget, reached: true,
+			detail: "another target answered", retryAfter: unverifiedRetry,
+		}
+	case re.header.Get(na.NotRun) != "":
+		return &result{
+			outcome: retrier.NotRun, kind: answerer.Overloaded, reached: true,
+			detail:     "the target refused with status " + strconv.Itoa(re.status),
+			retryAfter: unverifiedRetry,
+		}
+	case re.status < 300 && re.header.Get(na.Stamp) == "" || len(re.header["Content-Encoding"]) > 0:
+		return &result{
+			outcome: retrier.Unknown, kind: answerer.OutcomeUnknown, reached: true,
+			detail: "the response lacks the target's signature",
+		}
+	}
+	return &result{outcome: retrier.Answered, response: re, reached: true}
+}
+
+func isTimeout(err error) bool {
+	var te interface{ Timeout() bool }
+	return errors.As(err, &te) && te.Timeout()
+}
+
+// learn takes the end of a request at the target as evidence.
+func (ca *Carrier) learn(rq *request, rs *result, took time.Duration, began time.Time) {
+	if rs.outcome == retrier.NotRun {
+		ca.event(true, "not run", rq, func() map[string]any {
+			return map[string]any{"detail": rs.detail, "target": rq.target}
+		})
+		return
+	}
+	re := stager.Response{Took: took, Failed: rs.failed()}
+	if rq.route != nil {
+		re.Route, re.Objective = rq.route.Name, rq.route.Objective
+	}
+	if rs.outcome == retrier.Unknown {
+		re.Failed = rs.kind == answerer.OutcomeUnknown
+		ca.event(true, "unknown", rq, func() map[string]any {
+			return map[string]any{
+				"kind": rs.kind.String(), "detail": rs.detail, "target": rq.target,
+				"tookMs": took.Milliseconds(), "began": began.UnixMilli(),
+			}
+		})
+	} else {
+		ca.metrics.atTarget.Update(took.Microseconds())
+		ca.addWork(re.Route, took)
+		if rs.failed() {
+			ca.event(true, "target failed", rq, func() map[string]any {
+				return map[string]any{
+					"status": rs.response.status, "target": rq.target, "tookMs": took.Milliseconds(),
+				}
+			})
+		}
+	}
+	ca.gate.saw(re)
+}
+
+// expectedWork returns the expected time of the request at the own target.
+func (ca *Carrier) expectedWork(rq *request) time.Duration {
+	if rq.route == nil {
+		return 0
+	}
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	return ca.work[rq.route.Name]
+}
+
+// workWeight is the weight of the newest sample in the average work of a route.
+const workWeight = 0.1
+
+func (ca *Carrier) addWork(route string, took time.Duration) {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	old := ca.work[route]
+	if old == 0 {
+		old = took
+	}
+	ca.work[route] = old + time.Duration(workWeight*float64(took-old))
+}
+
+// answerNode writes a result to the first node.
+func (ca *Carrier) answerNode(w http.ResponseWriter, id string, rs *result) {
+	header := w.Header()
+	header["Date"] = nil
+	header[ca.config.Names.RequestID] = []string{id}
+	if rs.report != nil {
+		header[headerLoad] = []string{encodeLoad(rs.report)}
+	}
+	if rs.outcome == retrier.Answered {
+		writeResponse(w, rs.response)
+		return
+	}
+	flags := ""
+	if rs.reached {
+		flags = " t"
+	}
+	if rs.outcome == retrier.NotRun {
+		header[headerRefused] = []string{
+			rs.kind.String() + " " + milliseconds(rs.retryAfter) + flags,
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	header[headerUnknown] = []string{rs.kind.String()}
+	w.WriteHeader(http.StatusBadGateway)
+}
+
+func encodeLoad(re *placer.Report) string {
+	text := make([]byte, 0, 40)
+	for nn, value := range []int64{
+		int64(re.Running), int64(re.Waiting), int64(re.Slots),
+		re.Work.Milliseconds(), re.Delay.Milliseconds(), int64(100 * re.Bad),
+	} {
+		if nn > 0 {
+			text = append(text, ' ')
+		}
+		text = strconv.AppendInt(text, value, 10)
+	}
+	return string(text)
+}
+
+// decodeLoad reads a load header; it returns nil if there is none or it is
+// malformed.
+func decodeLoad(text string) *placer.Report {
+	parts := strings.Split(text, " ")
+	if len(parts) != 6 {
+		return nil
+	}
+	var values [6]int
+	for nn, part := range parts {
+		value, err := strconv.Atoi(part)
+		if err != nil || value < 0 {
+			return nil
+		}
+		values[nn] = value
+	}
+	return &placer.Report{
+		Running: values[0], Waiting: values[1], Slots: values[2],
+		Work:  time.Duration(values[3]) * time.Millisecond,
+		Delay: time.Duration(values[4]) * time.Millisecond,
+		Bad:   float64(values[5]) / 100,
+	}
+}
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -2,11 +2,11 @@
 
 import (
 	"net/http"
-	"net/textproto"
 	"strconv"
 	"strings"
 
 	"github.com/guavastall/guavastall/internal/router"
+	"github.com/guavastall/guavastall/internal/stripper"
 )
 
 // The headers of the call path, in canonical form.
@@ -33,38 +33,6 @@
 	headerContent = "Content-Type"
 )
 
-// hopByHop lists the headers that concern one connection only.
-var hopByHop = map[string]bool{
-	"Connection":          true,
-	"Keep-Alive":          true,
-	"Proxy-Authenticate":  true,
-	"Proxy-Authorization": true,
-	"Proxy-Connection":    true,
-	"Te":                  true,
-	"Trailer":             true,
-	"Transfer-Encoding":   true,
-	"Upgrade":             true,
-}
-
-// named returns the headers that the Connection header names, which concern
-// one connection only too. It returns nil in the usual case of none.
-func named(from http.Header) map[string]bool {
-	var names map[string]bool
-	for _, value := range from[headerClose] {
-		for name := range strings.SplitSeq(value, ",") {
-			name = textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name))
-			if name == "" || hopByHop[name] || name == "Close" {
-				continue
-			}
-			if names == nil {
-				names = map[string]bool{}
-			}
-			names[name] = true
-		}
-	}
-	return names
-}
-
 // noValue is shared by all requests; nothing writes to it.
 var noValue = []string{""}
 
@@ -72,11 +40,11 @@
 func requestHeader(from http.Header) http.Header {
 	// extra is the number of headers that an attempt adds.
 	const extra = 6
-	names := named(from)
+	hop := stripper.Of(from)
 	to := make(http.Header, len(from)+extra)
 	for name, values := range from {
 		switch {
-		case hopByHop[name], names[name], name == "Expect", name == headerOnce, name == headerHop:
+		case hop.Has(name), name == "Expect", name == headerOnce, name == headerHop:
 		case name == headerKey, name == headerXKey:
 			// http.Transport resends requests that have these map keys. The
 			// lower-case form is the same header to the receiver.
@@ -95,9 +63,9 @@
 // The headers of the call path are set by the nodes; a target's are dropped
 // when fromTarget is set, because they may stem from a call of its own.
 func copyResponseHeader(to, from http.Header, fromTarget bool) {
-	names := named(from)
+	hop := stripper.Of(from)
 	for name, values := range from {
-		if hopByHop[name] || names[name] || name == headerHop {
+		if hop.Has(name) || name == headerHop {
 			continue
 		}
 		if fromTarget && name != headerRetried && strings.HasPrefix(name, headerPrefix) {
--- /dev/null
+++ b/internal/meshrunner/keep.go
@@ -0,0 +1,183 @@
+package meshrunner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+
+	"github.com/guavastall/guavastall/internal/registrar"
+)
+
+const (
+	// keepPeriod is how often the node looks after its target and unreachable
+	// nodes.
+	keepPeriod = 250 * time.Millisecond
+	// gapTime is the time missing between two looks from which the node takes
+	// itself for one that was stopped.
+	gapTime = time.Second
+	// healthTime bounds a health check, which waits for a slot of the target.
+	healthTime = 400 * time.Millisecond
+)
+
+// keep looks after the target and unreachable nodes until the context ends, and
+// closes done.
+func (ru *Runner) keep(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	ticker := time.NewTicker(keepPeriod)
+	defer ticker.Stop()
+	var probes sync.WaitGroup
+	defer probes.Wait()
+	last := bootTime()
+	for count := 0; ; count++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := bootTime()
+		if gap := now - last; gap > keepPeriod+gapTime {
+			ru.Log.WithField("gapMs", gap.Milliseconds()).Warn("process was stopped")
+			ru.gate.Doubt()
+		}
+		last = now
+		ru.restore()
+		if ru.gate.Doubted() {
+			ru.verify(ctx)
+		}
+		for _, node := range ru.carrier.Unreached() {
+			ru.carrier.Probed(node, false) // until it answers
+			probes.Add(1)
+			go func() {
+				defer probes.Done()
+				ru.probe(ctx, node)
+			}()
+		}
+		if count%8 == 0 {
+			ru.carrier.Sweep()
+		}
+	}
+}
+
+// bootTime returns the time since the machine started, including the time that
+// it was suspended, which the monotonic clock leaves out.
+func bootTime() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return 0
+	}
+	return time.Duration(ts.Nano())
+}
+
+// probe asks an unreachable node whether it is back.
+func (ru *Runner) probe(ctx context.Context, node netip.AddrPort) {
+	he, err := ru.hail(ctx, node)
+	if err != nil || !he.Ready {
+		return
+	}
+	ru.carrier.Probed(node, true)
+	ru.Log.WithField("node", node.String()).Info("node regained")
+}
+
+// restore takes over the target from the entry of an earlier process.
+func (ru *Runner) restore() {
+	if ru.gate.Current().State != registrar.Unknown {
+		return
+	}
+	self := ru.settings.Load().Nodes
+	rc, ok := ru.mesh.Get(nodePrefix + self.Addr().String())
+	if !ok {
+		return
+	}
+	en, err := registrar.DecodeEntry(rc.Value)
+	if err != nil || en.Target == "" || en.Node != self {
+		return
+	}
+	ru.gate.Restore(en.Instance())
+	ru.Log.WithFields(logrus.Fields{
+		"target": en.Target, "version": en.Version, "leaving": en.Leaving, "offset": rc.Offset,
+	}).Info("target restored from the store")
+	ru.refresh()
+}
+
+// refresh rebuilds the view after a change of the own target.
+func (ru *Runner) refresh() {
+	ru.mu.Lock()
+	defer ru.mu.Unlock()
+	ru.rebuild()
+}
+
+// verify checks by a health check that the target is the one that is known, and
+// whether it is cold.
+func (ru *Runner) verify(ctx context.Context) {
+	in := ru.gate.Current()
+	path, rate := ru.healthOf(in.Service)
+	if path == "" {
+		return
+	}
+	id, cold, err := ru.health(ctx, path)
+	if err != nil {
+		ru.Log.WithError(err).WithField("target", in.ID).Info("target not verified")
+		return
+	}
+	ok := ru.gate.Verify(id, cold, rate)
+	ru.Log.WithFields(logrus.Fields{
+		"target": in.ID, "found": id, "coldMs": cold.Milliseconds(), "verified": ok,
+	}).Info("target verified")
+}
+
+// healthOf returns the path of the health check and the cold rate of a service.
+func (ru *Runner) healthOf(service string) (string, float64) {
+	vi := ru.carrier.View()
+	if vi == nil {
+		return "", 0
+	}
+	se := vi.Config.Services[service]
+	if se == nil {
+		return "", 0
+	}
+	return se.HealthPath, se.ColdRate
+}
+
+// health makes a health check on a connection of its own.
+func (ru *Runner) health(ctx context.Context, path string) (string, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, healthTime)
+	defer cancel()
+	target := ru.settings.Load().Target.String()
+	client := http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{}).DialContext, DisableKeepAlives: true,
+	}}
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target+path, nil)
+	if err != nil {
+		return "", 0, err
+	}
+	rs, err := client.Do(rq)
+	if err != nil {
+		return "", 0, err
+	}
+	defer func() { _ = rs.Body.Close() }()
+	if _, err := io.Copy(io.Discard, io.LimitReader(rs.Body, maxPeerBytes)); err != nil {
+		return "", 0, err
+	}
+	if rs.StatusCode != http.StatusOK {
+		return "", 0, fmt.Errorf("the target answered %s", rs.Status)
+	}
+	cold := time.Duration(0)
+	if text := strings.TrimSpace(rs.Header.Get(ru.Names.Cold)); text != "" {
+		ms, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return "", 0, fmt.Errorf("read how long the target is cold: %w", err)
+		}
+		cold = time.Duration(ms * float64(time.Millisecond))
+	}
+	return rs.Header.Get(ru.Names.Instance), cold, nil
+}
--- /dev/null
+++ b/internal/meshrunner/member.go
@@ -0,0 +1,166 @@
+package meshrunner
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/guavastall/guavastall/internal/registrar"
+)
+
+// Heartbeat takes a heartbeat of the own target. The error says why it was not
+// accepted.
+func (ru *Runner) Heartbeat(he registrar.Heartbeat) error {
+	se := ru.settings.Load()
+	if he.Address != se.Target {
+		err := fmt.Errorf("address %s is not that of this VM's target", he.Address)
+		ru.Malformed(he.ID, err)
+		return err
+	}
+	rate := 0.0
+	if vi := ru.carrier.View(); vi != nil {
+		service := vi.Config.Services[he.Service]
+		if service == nil {
+			err := fmt.Errorf("service %q does not exist", he.Service)
+			ru.Malformed(he.ID, err)
+			return err
+		}
+		rate = service.ColdRate
+	}
+	if ru.gate.Heartbeat(he, rate) != registrar.Changed {
+		return nil
+	}
+	ru.Log.WithFields(logrus.Fields{
+		"target": he.ID, "service": he.Service, "version": he.Version, "slots": he.Slots,
+		"draining": he.Draining, "sequence": he.Sequence, "born": he.Born.UnixMilli(),
+		"coldMs": he.ColdLeft.Milliseconds(),
+	}).Info("target")
+	ru.refresh()
+	ru.republish()
+	return nil
+}
+
+// Malformed notes a heartbeat that is not used.
+func (ru *Runner) Malformed(id string, err error) {
+	ru.Log.WithError(err).WithField("target", id).Warn("heartbeat ignored")
+}
+
+// Depart notes that a target says it leaves.
+func (ru *Runner) Depart(id string) {
+	current := ru.gate.Depart(id)
+	ru.Log.WithFields(logrus.Fields{"target": id, "current": current}).Info("target leaves")
+	if current {
+		ru.refresh()
+		ru.republish()
+	}
+}
+
+// publication is what the node last published of itself.
+type publication struct {
+	incarnation int64
+	revision    int
+	value       []byte
+	entry       registrar.Entry
+}
+
+const (
+	// publishTime bounds the publication of the own entry.
+	publishTime = 2 * time.Second
+	// publishRetry is the pause after a failed publication; entries are back
+	// within about two seconds of the store's return.
+	publishRetry = 500 * time.Millisecond
+)
+
+// republish lets the publisher compare the own entry with the published one.
+func (ru *Runner) republish() {
+	select {
+	case ru.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// publish keeps the own entry in the store until the context ends, and closes
+// done.
+func (ru *Runner) publish(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ru.dirty:
+		}
+		for ctx.Err() == nil {
+			again, err := ru.publishEntry(ctx)
+			if err != nil {
+				ru.Log.WithError(err).Warn("entry not published")
+			} else if !again {
+				break
+			}
+			pause(ctx, publishRetry)
+		}
+	}
+}
+
+// publishEntry publishes the own entry if the store holds another. It reports
+// whether it has to be tried again.
+func (ru *Runner) publishEntry(ctx context.Context) (bool, error) {
+	if _, primed := ru.mesh.End(); !primed {
+		return true, nil // the own earlier entry is not known yet
+	}
+	se := ru.settings.Load()
+	en := registrar.NewEntry(se.Nodes, se.DataCentre, ru.gate.Current())
+	en.NodeLeaving = ru.leaving.Load()
+	if en.Target == "" && !en.NodeLeaving {
+		return false, nil
+	}
+	ru.mu.Lock()
+	pu := &ru.published
+	key := nodePrefix + en.Key()
+	rc, present := ru.mesh.Get(key)
+	if pu.incarnation == 0 {
+		pu.incarnation = 1
+		if old, err := registrar.DecodeEntry(rc.Value); present && err == nil {
+			pu.incarnation = old.Incarnation + 1
+		}
+	}
+	en.Incarnation = pu.incarnation
+	// What heartbeats change beyond the state is of no use to other nodes.
+	en.Revision, en.Sequence = pu.entry.Revision, pu.entry.Sequence
+	if en == pu.entry && (!present || bytes.Equal(rc.Value, pu.value)) {
+		ru.mu.Unlock()
+		return false, nil
+	}
+	en.Revision = pu.entry.Revision + 1
+	en.Sequence = ru.gate.Current().Sequence
+	value, err := en.Encode()
+	ru.mu.Unlock()
+	if err != nil {
+		return false, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, publishTime)
+	defer cancel()
+	if _, err := ru.Mesh.Append(ctx, key, value, nil); err != nil {
+		return true, err
+	}
+	ru.mu.Lock()
+	ru.published.entry, ru.published.value = en, value
+	ru.mu.Unlock()
+	ru.Log.WithFields(logrus.Fields{
+		"target": en.Target, "leaving": en.Leaving, "nodeLeaving": en.NodeLeaving,
+		"revision": en.Revision,
+	}).Info("entry published")
+	return false, nil
+}
+
+// pause waits for the duration or the end of the context.
+func pause(ctx context.Context, du time.Duration) {
+	timer := time.NewTimer(du)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/meshrunner/settings.go
@@ -0,0 +1,59 @@
+package meshrunner
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/guavastall/guavastall/internal/budgeter"
+)
+
+// Settings are the settings of a node that follows a store.
+type Settings struct {
+	// Name names the node in logs.
+	Name       string
+	DataCentre string
+	// Service is the service that runs on this VM.
+	Service string
+	// Target is the address of the target next to the node.
+	Target netip.AddrPort
+	// Nodes, Clients, Ready and Control are the addresses that the node listens
+	// on; Metrics is optional.
+	Nodes, Clients, Ready, Control, Metrics netip.AddrPort
+	// Store is the address of the store.
+	Store netip.AddrPort
+	// Memory is the process's limit in bytes; zero for none.
+	Memory int64
+	// Grace is the time between SIGTERM and SIGKILL.
+	Grace time.Duration
+	// Budget bounds repeated requests to a service over all nodes.
+	Budget budgeter.Config
+}
+
+// Check reports what is wrong with the settings.
+func (se *Settings) Check() error {
+	var errs []error
+	for _, ad := range []struct {
+		name    string
+		address netip.AddrPort
+	}{
+		{"target", se.Target}, {"nodes", se.Nodes}, {"clients", se.Clients},
+		{"ready", se.Ready}, {"control", se.Control}, {"store", se.Store},
+	} {
+		if !ad.address.IsValid() || ad.address.Port() == 0 {
+			errs = append(errs, fmt.Errorf("address %s is missing", ad.name))
+		}
+	}
+	if se.DataCentre == "" {
+		errs = append(errs, errors.New("the data centre is missing"))
+	}
+	if se.Grace < 0 || se.Memory < 0 {
+		errs = append(errs, errors.New("the grace period or the memory limit is negative"))
+	}
+	if bu := &se.Budget; bu.Ratio < 0 || bu.Allowance < 0 || bu.Window <= 0 {
+		errs = append(errs, fmt.Errorf("retry budget: ratio %v, allowance %v, window %s out of range",
+			bu.Ratio, bu.Allowance, bu.Window))
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/meshrunner/view.go
@@ -0,0 +1,208 @@
+package meshrunner
+
+import (
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/guavastall/guavastall/internal/carrier"
+	"github.com/guavastall/guavastall/internal/placer"
+	"github.com/guavastall/guavastall/internal/registrar"
+	"github.com/guavastall/guavastall/internal/replicator"
+	"github.com/guavastall/guavastall/internal/stager"
+)
+
+// The keys of the mesh's topic.
+const (
+	nodePrefix = "node/"
+	movePrefix = "move/"
+)
+
+// seenMove is the progress of a rollout and when this node first saw it.
+type seenMove struct {
+	stager.Move
+	offset uint64
+	seen   time.Time
+}
+
+// operatorChanged takes changed records of the operator's topic.
+func (ru *Runner) operatorChanged(keys []string) {
+	ru.mu.Lock()
+	defer ru.mu.Unlock()
+	for _, key := range keys {
+		rc, ok := ru.operator.Get(key)
+		switch {
+		case key == ru.ConfigKey():
+			if ok {
+				ru.takeConfig(rc)
+			}
+		default:
+			if service, is := ru.Rollout(key); is {
+				ru.takeOrder(service, rc, ok)
+			} else if dataCentre, is := ru.Evacuation(key); is {
+				ru.Log.WithFields(logrus.Fields{
+					"dataCentre": dataCentre, "out": ok, "offset": rc.Offset,
+				}).Info("data centre")
+			}
+		}
+	}
+	ru.rebuild()
+}
+
+// takeConfig puts a configuration in force if it is whole and newer.
+func (ru *Runner) takeConfig(rc replicator.Record) {
+	entry := ru.Log.WithField("offset", rc.Offset)
+	cf, err := ru.DecodeConfig(rc.Value)
+	if err != nil {
+		entry.WithError(err).Warn("configuration rejected; the old one stays in force")
+		return
+	}
+	entry = entry.WithField("version", cf.Version)
+	if ru.config != nil && cf.Version <= ru.config.Version {
+		entry.WithField("inForce", ru.config.Version).Warn("configuration is not newer")
+		return
+	}
+	ru.config = cf
+	entry.WithFields(logrus.Fields{
+		"routes": len(cf.Routes), "services": len(cf.Services),
+	}).Info("configuration in force")
+}
+
+func (ru *Runner) takeOrder(service string, rc replicator.Record, ok bool) {
+	if !ok {
+		delete(ru.orders, service)
+		return
+	}
+	or, err := ru.DecodeRollout(rc.Value)
+	if err == nil && or.Service != service {
+		or.Service = service
+	}
+	if err != nil {
+		ru.Log.WithError(err).WithField("service", service).Warn("rollout order rejected")
+		return
+	}
+	or.Number = rc.Offset
+	ru.orders[service] = or
+	ru.Log.WithFields(logrus.Fields{
+		"service": service, "version": or.Version, "duration": or.Duration.String(),
+		"order": or.Number,
+	}).Info("rollout ordered")
+}
+
+// meshChanged takes changed records of the mesh's topic.
+func (ru *Runner) meshChanged(keys []string) {
+	ru.mu.Lock()
+	defer ru.mu.Unlock()
+	for _, key := range keys {
+		service, ok := strings.CutPrefix(key, movePrefix)
+		if !ok {
+			continue
+		}
+		if rc, present := ru.mesh.Get(key); present {
+			ru.takeMove(service, rc)
+		} else {
+			delete(ru.moves, service)
+		}
+	}
+	ru.rebuild()
+	ru.republish()
+}
+
+// entries returns the valid entries of all nodes but this one.
+func (ru *Runner) entries() []*registrar.Entry {
+	self := ru.settings.Load().Nodes
+	var all []*registrar.Entry
+	ru.mesh.Each(func(rc replicator.Record) {
+		if !strings.HasPrefix(rc.Key, nodePrefix) {
+			return
+		}
+		en, err := registrar.DecodeEntry(rc.Value)
+		if err != nil {
+			ru.Log.WithError(err).WithField("key", rc.Key).Warn("entry ignored")
+			return
+		}
+		if en.Node != self {
+			all = append(all, en)
+		}
+	})
+	return all
+}
+
+// rebuild makes a new view of the mesh. The caller holds the lock.
+func (ru *Runner) rebuild() {
+	if ru.config == nil {
+		return
+	}
+	se := ru.settings.Load()
+	entries := ru.entries()
+	own := registrar.NewEntry(se.Nodes, se.DataCentre, ru.gate.Current())
+	own.NodeLeaving = ru.leaving.Load()
+	entries = append(entries, &own)
+
+	vi := &carrier.View{
+		Config: ru.config, Targets: map[string][]carrier.Target{},
+		Versions: map[string]stager.Versions{}, Out: map[string]bool{}, Nodes: len(entries),
+	}
+	ru.operator.Each(func(rc replicator.Record) {
+		if dataCentre, ok := ru.Evacuation(rc.Key); ok {
+			vi.Out[dataCentre] = true
+		}
+	})
+	counts := map[string]map[string]int{}
+	for _, en := range entries {
+		if !en.Usable() {
+			continue
+		}
+		vi.Targets[en.Service] = append(vi.Targets[en.Service], target(en))
+		if counts[en.Service] == nil {
+			counts[en.Service] = map[string]int{}
+		}
+		counts[en.Service][en.Version]++
+	}
+	for service := range ru.config.Services {
+		vi.Versions[service] = ru.versions(service, counts[service])
+	}
+	ru.permit(vi, &own)
+	ru.carrier.SetView(vi)
+}
+
+func target(en *registrar.Entry) carrier.Target {
+	return carrier.Target{
+		Target: placer.Target{
+			ID: en.Target, Node: en.Node, DataCentre: en.DataCentre, Slots: en.Slots,
+		},
+		Version: en.Version,
+	}
+}
+
+// versions returns the versions of a service that get requests.
+func (ru *Runner) versions(service string, counts map[string]int) stager.Versions {
+	var order *stager.Order
+	var move *stager.Move
+	if or, ok := ru.orders[service]; ok {
+		order = &or
+	}
+	if mo, ok := ru.moves[service]; ok {
+		move = &mo.Move
+	}
+	return stager.Select(order, move, counts)
+}
+
+// permit tells the gate what binds its target.
+func (ru *Runner) permit(vi *carrier.View, own *registrar.Entry) {
+	ve := vi.Versions[own.Service]
+	barred := own.Target != "" && !ve.Allows(own.Version)
+	guard := ve.Next != "" && ve.Next == own.Version
+	ru.gate.Permit(vi.Out[own.DataCentre], barred, guard)
+}
+
+// nodes returns the addresses of the other nodes.
+func (ru *Runner) nodes() []netip.AddrPort {
+	var all []netip.AddrPort
+	for _, en := range ru.entries() {
+		all = append(all, en.Node)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/placer/placer.go
@@ -0,0 +1,303 @@
+// Package placer chooses the target of a request from what is known of the
+// targets' load.
+//
+// It answers these load patterns. Targets of unequal speed: a request goes
+// where its response is expected first. A data centre with less room than
+// traffic: requests stay in their own data centre until the wait there passes a
+// part of their objective, then they cross. Targets that fail part of their
+// requests, or whose node cannot be reached: they get less or nothing until
+// they prove sound again.
+package placer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+)
+
+const (
+	// fullTrust is the age up to which a report counts in full; it then loses
+	// weight until lostTrust. A busy target reports several times a second.
+	fullTrust = 500 * time.Millisecond
+	lostTrust = 3 * time.Second
+	// localPatience is the part of the objective that a request rather waits in
+	// its own data centre than crosses to another.
+	localPatience = 0.25
+	// ownBonus is the time that a request saves when the target is next to the
+	// node: a hop in each direction.
+	ownBonus = 2 * time.Millisecond
+	// jitter spreads the choices of nodes that hold the same reports, as a part
+	// of the work time.
+	jitter = 0.2
+	// fullness is the part of the work time that the last free slot of a target
+	// counts as a wait: full targets slow down.
+	fullness = 0.3
+	// badWeight is how many objectives a target that fails always is set back.
+	badWeight = 3.0
+	// firstRest and longestRest bound the time that an unreachable node gets
+	// nothing; it doubles with each failure.
+	firstRest   = 250 * time.Millisecond
+	longestRest = 2 * time.Second
+	// defaultWork stands for the work time of a target that has not reported.
+	defaultWork = 100 * time.Millisecond
+)
+
+// Target is a target that a request may go to.
+type Target struct {
+	// ID names the incarnation of the target.
+	ID         string
+	Node       netip.AddrPort
+	DataCentre string
+	Slots      int
+}
+
+// Report is the load of a target as its node knows it.
+type Report struct {
+	Running, Waiting, Slots int
+	// Work is the average time of a request at the target.
+	Work time.Duration
+	// Delay is the expected wait of a new request.
+	Delay time.Duration
+	// Bad is the recent share of failed requests.
+	Bad float64
+}
+
+// Request is what the choice depends on.
+type Request struct {
+	DataCentre string
+	// Own is the node that chooses.
+	Own netip.AddrPort
+	// Objective is the time left within which the response has its full value.
+	Objective time.Duration
+	// Tried are the targets that have been tried before.
+	Tried []string
+}
+
+// Choice is the outcome of Pick.
+type Choice struct {
+	Target Target
+	// Wait is the expected wait for a slot.
+	Wait time.Duration
+	// Age is how old the report is that the wait rests on; negative if none.
+	Age time.Duration
+}
+
+// load is what this node knows of a target.
+type load struct {
+	report     Report
+	reportedAt time.Time
+	reported   bool
+	// outstanding are this node's requests at the target; sinceReport are those
+	// of them that began after the report.
+	outstanding, sinceReport int
+	// avoidUntil is set by a refusal.
+	avoidUntil time.Time
+	lastUse    time.Time
+}
+
+// reach is what this node knows of another node.
+type reach struct {
+	failures int
+	until    time.Time
+}
+
+// Placer chooses targets. It is not safe for concurrent use.
+type Placer struct {
+	random *rand.Rand
+	loads  map[string]*load
+	nodes  map[netip.AddrPort]*reach
+}
+
+// New returns a placer.
+func New(random *rand.Rand) *Placer {
+	return &Placer{
+		random: random, loads: map[string]*load{}, nodes: map[netip.AddrPort]*reach{},
+	}
+}
+
+// Pick returns the target at which the response is expected first, and whether
+// there is one. Unreachable nodes are chosen only if no other is left.
+func (pl *Placer) Pick(targets []Target, re Request, now time.Time) (Choice, bool) {
+	best, found := pl.pick(targets, re, now, false)
+	if !found {
+		best, found = pl.pick(targets, re, now, true)
+	}
+	return best, found
+}
+
+func (pl *Placer) pick(
+	targets []Target, re Request, now time.Time, unreachable bool,
+) (Choice, bool) {
+	var best Choice
+	var least time.Duration
+	found := false
+	for nn := range targets {
+		ta := &targets[nn]
+		if wasTried(re.Tried, ta.ID) || pl.resting(ta.Node, now) != unreachable {
+			continue
+		}
+		cost, ch := pl.cost(ta, &re, now)
+		if !found || cost < least {
+			best, least, found = ch, cost, true
+		}
+	}
+	return best, found
+}
+
+func wasTried(tried []string, id string) bool {
+	for _, other := range tried {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (pl *Placer) cost(ta *Target, re *Request, now time.Time) (time.Duration, Choice) {
+	lo := pl.loads[ta.ID]
+	work, wait, used, bad := defaultWork, time.Duration(0), 0.0, 0.0
+	age := time.Duration(-1)
+	if lo != nil {
+		if lo.reported {
+			age = now.Sub(lo.reportedAt)
+			work = lo.report.Work
+		}
+		wait, used = lo.expected(ta.Slots, now)
+		if rest := lo.avoidUntil.Sub(now); rest > wait {
+			wait = rest
+		}
+		bad = lo.bad(now)
+	}
+	cost := wait + work + time.Duration(fullness*used*float64(work))
+	cost += time.Duration(jitter * pl.random.Float64() * float64(work))
+	cost += time.Duration(badWeight * bad * float64(max(re.Objective, work)))
+	switch {
+	case ta.Node == re.Own:
+		cost -= ownBonus
+	case ta.DataCentre != re.DataCentre:
+		cost += time.Duration(localPatience * float64(max(re.Objective, 0)))
+	}
+	return cost, Choice{Target: *ta, Wait: wait, Age: age}
+}
+
+// expected returns the expected wait and the part of the slots in use.
+func (lo *load) expected(slots int, now time.Time) (time.Duration, float64) {
+	if slots < 1 {
+		slots = 1
+	}
+	busy := float64(lo.outstanding)
+	work := defaultWork
+	delay := time.Duration(0)
+	if lo.reported {
+		trust := lo.trust(now)
+		known := float64(lo.report.Running+lo.report.Waiting) + float64(lo.sinceReport)
+		busy = max(busy, trust*known)
+		work = lo.report.Work
+		delay = time.Duration(trust*float64(lo.report.Delay)) - now.Sub(lo.reportedAt)
+	}
+	wait := time.Duration(0)
+	if over := busy - float64(slots) + 1; over > 0 {
+		wait = time.Duration(over * float64(work) / float64(slots))
+	}
+	return max(wait, delay), min(busy/float64(slots), 1)
+}
+
+func (lo *load) bad(now time.Time) float64 {
+	if !lo.reported {
+		return 0
+	}
+	return lo.report.Bad * lo.trust(now)
+}
+
+func (lo *load) trust(now time.Time) float64 {
+	age := now.Sub(lo.reportedAt)
+	switch {
+	case age <= fullTrust:
+		return 1
+	case age >= lostTrust:
+		return 0
+	}
+	return 1 - float64(age-fullTrust)/float64(lostTrust-fullTrust)
+}
+
+func (pl *Placer) load(id string) *load {
+	lo := pl.loads[id]
+	if lo == nil {
+		lo = &load{}
+		pl.loads[id] = lo
+	}
+	return lo
+}
+
+// Begin notes that a request goes to the target.
+func (pl *Placer) Begin(id string, now time.Time) {
+	lo := pl.load(id)
+	lo.outstanding++
+	lo.sinceReport++
+	lo.lastUse = now
+}
+
+// End notes that a request is back. The report is nil if the response held none.
+func (pl *Placer) End(id string, re *Report, now time.Time) {
+	lo := pl.load(id)
+	lo.outstanding--
+	if re != nil {
+		lo.report, lo.reportedAt, lo.reported, lo.sinceReport = *re, now, true, 0
+		lo.avoidUntil = time.Time{}
+	} else if lo.sinceReport > 0 {
+		lo.sinceReport--
+	}
+}
+
+// Avoid keeps requests from a target that refused one, for a time.
+func (pl *Placer) Avoid(id string, rest time.Duration, now time.Time) {
+	pl.load(id).avoidUntil = now.Add(rest)
+}
+
+// Unreachable notes that a node could not be reached.
+func (pl *Placer) Unreachable(node netip.AddrPort, now time.Time) {
+	re := pl.nodes[node]
+	if re == nil {
+		re = &reach{}
+		pl.nodes[node] = re
+	}
+	rest := min(firstRest<<min(re.failures, 8), longestRest)
+	re.failures++
+	re.until = now.Add(rest)
+}
+
+// Reached notes that a node answered.
+func (pl *Placer) Reached(node netip.AddrPort) {
+	delete(pl.nodes, node)
+}
+
+// Resting returns the unreachable nodes whose rest is over; they need a probe.
+func (pl *Placer) Resting(now time.Time) []netip.AddrPort {
+	var due []netip.AddrPort
+	for node, re := range pl.nodes {
+		if !now.Before(re.until) {
+			due = append(due, node)
+		}
+	}
+	return due
+}
+
+// resting reports whether a node is to be spared: until a probe reaches it.
+func (pl *Placer) resting(node netip.AddrPort, _ time.Time) bool {
+	_, ok := pl.nodes[node]
+	return ok
+}
+
+// Keep forgets all targets and nodes but the given ones.
+func (pl *Placer) Keep(targets map[string]bool, nodes map[netip.AddrPort]bool) {
+	for id, lo := range pl.loads {
+		if !targets[id] && lo.outstanding == 0 {
+			delete(pl.loads, id)
+		}
+	}
+	for node := range pl.nodes {
+		if !nodes[node] {
+			delete(pl.nodes, node)
+		}
+	}
+}
--- /dev/null
+++ b/internal/stager/stager.go
@@ -0,0 +1,192 @@
+// Package stager decides how far a rollout that was ordered from outside has
+// come: which share of a service's requests goes to the targets of the new
+// version, when the rollout is complete and when it is rolled back.
+//
+// A rollout begins with a small share, so that a version whose fault shows at
+// once or after some seconds does little harm, and grows in steps, so that one
+// that fails under load is noticed before it has all of it.
+package stager
+
+import "time"
+
+// Order asks for a rollout.
+type Order struct {
+	Service string
+	Version string
+	// Duration is the time within which the rollout is to be complete.
+	Duration time.Duration
+	// Number identifies the order; a later order has a greater one.
+	Number uint64
+}
+
+// State is the state of a rollout.
+type State string
+
+// The states.
+const (
+	Active     State = "active"
+	Complete   State = "complete"
+	RolledBack State = "rolledBack"
+)
+
+// Move is the progress of a rollout, as the nodes agree on it in the store.
+type Move struct {
+	Order   uint64 `json:"order"`
+	Service string `json:"service"`
+	Version string `json:"version"`
+	// Base is the version that the rollout starts from.
+	Base  string `json:"base"`
+	State State  `json:"state"`
+	// Step counts the shares in use; see Share.
+	Step int `json:"step"`
+	// Elapsed is the time since the order when the step began.
+	Elapsed time.Duration `json:"elapsed"`
+	Reason  string        `json:"reason,omitempty"`
+}
+
+// step is one share and the part of the duration until which it lasts.
+type step struct {
+	share, until float64
+}
+
+// steps keep the first share below the tenth that a bad version may get of all
+// requests, long enough for a fault that shows some seconds after the start,
+// and leave a third of the duration for the old targets to finish their work.
+var steps = []step{{0.05, 0.38}, {0.25, 0.5}, {0.5, 0.6}, {1, 0.9}}
+
+const (
+	// minBad is the least number of bad responses that proves a fault.
+	minBad = 6
+	// badMargin is the share of bad responses that a good version may have, and
+	// baseFactor how much worse than the base version it may be besides.
+	badMargin  = 0.08
+	baseFactor = 2.0
+	// minBase is the number of the base version's responses from which its share
+	// of bad ones counts.
+	minBase = 10
+	// minRequests is the evidence that the first step needs.
+	minRequests = 20
+	// giveUp is the part of the duration after which a rollout without enough
+	// evidence is rolled back.
+	giveUp = 0.75
+)
+
+// Share returns the share of the service's requests for the new version.
+func (mo *Move) Share() float64 {
+	switch mo.State {
+	case Complete:
+		return 1
+	case RolledBack:
+		return 0
+	}
+	return steps[min(mo.Step, len(steps)-1)].share
+}
+
+// Full reports whether the base version gets nothing any more.
+func (mo *Move) Full() bool {
+	return mo.State == Complete || mo.State == Active && mo.Step >= len(steps)-1
+}
+
+// Tally counts responses.
+type Tally struct {
+	Requests int `json:"requests"`
+	Bad      int `json:"bad"`
+}
+
+// Add adds another tally.
+func (ta *Tally) Add(other Tally) {
+	ta.Requests += other.Requests
+	ta.Bad += other.Bad
+}
+
+// Evidence is what the nodes beside the targets of one version have seen.
+type Evidence struct {
+	// Targets is the number of targets that were heard of.
+	Targets int
+	// Running is the number of requests at them or before them.
+	Running int
+	// Total holds the tallies by route since the rollout began, Recent those of
+	// the last seconds.
+	Total, Recent map[string]Tally
+}
+
+// Decide returns the rollout's next state, and whether it differs. The evidence
+// is that of the new and of the base version; missing says that a node beside a
+// target of the base version has not answered.
+func Decide(
+	mo Move, or Order, elapsed time.Duration, fresh, base Evidence, missing bool,
+) (Move, bool) {
+	if mo.State != Active {
+		return mo, false
+	}
+	if reason, bad := faulty(fresh, base); bad {
+		return finish(mo, RolledBack, elapsed, reason), true
+	}
+	progress := float64(elapsed) / float64(max(or.Duration, time.Second))
+	total := sum(fresh.Total)
+	if mo.Full() {
+		if base.Running == 0 && !missing && progress > steps[mo.Step-1].until ||
+			progress > steps[len(steps)-1].until {
+			return finish(mo, Complete, elapsed, "all traffic moved"), true
+		}
+		return mo, false
+	}
+	if progress < steps[mo.Step].until {
+		return mo, false
+	}
+	if fresh.Targets == 0 || total.Requests < minRequests {
+		if progress > giveUp {
+			return finish(mo, RolledBack, elapsed, "too little evidence in time"), true
+		}
+		return mo, false
+	}
+	mo.Step++
+	mo.Elapsed = elapsed
+	return mo, true
+}
+
+func finish(mo Move, st State, elapsed time.Duration, reason string) Move {
+	mo.State, mo.Elapsed, mo.Reason = st, elapsed, reason
+	return mo
+}
+
+// faulty reports whether the new version is worse than the base version, on
+// one route or on all, of late or in total.
+func faulty(fresh, base Evidence) (string, bool) {
+	if worse(sum(fresh.Recent), sum(base.Recent)) {
+		return "recent responses", true
+	}
+	if worse(sum(fresh.Total), sum(base.Total)) {
+		return "all responses", true
+	}
+	for route, ta := range fresh.Recent {
+		if worse(ta, base.Recent[route]) {
+			return "recent responses of route " + route, true
+		}
+	}
+	for route, ta := range fresh.Total {
+		if worse(ta, base.Total[route]) {
+			return "all responses of route " + route, true
+		}
+	}
+	return "", false
+}
+
+func worse(fresh, base Tally) bool {
+	if fresh.Bad < minBad {
+		return false
+	}
+	bound := badMargin
+	if base.Requests >= minBase {
+		bound += baseFactor * float64(base.Bad) / float64(base.Requests)
+	}
+	return float64(fresh.Bad) > bound*float64(fresh.Requests)
+}
+
+func sum(tallies map[string]Tally) Tally {
+	var total Tally
+	for _, ta := range tallies {
+		total.Add(ta)
+	}
+	return total
+}
