Keep the cold rate while no configuration is known; rank by priority alone

The rate now follows the configuration and the gate admits nothing before its rules are known. Every client shares the VM's address with the target, so that the test for inner requests by address matched all of them; priorities rank inner requests first already. BUDGET: repeated runs make calls that count at the service called; a node uses 0.35 of its part instead of 0.5. Ruled out: the target's own figure for the time it is cold; it was right.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -30,8 +30,6 @@
 
 // Request is what the queue needs to know of a request.
 type Request struct {
-	// Inner says that a request which already holds a slot elsewhere waits for it.
-	Inner bool
 	// Priority ranks requests; 0 is the most urgent.
 	Priority int
 	// Returning says that the request was refused before.
@@ -96,9 +94,32 @@
 	qu.slots = slots
 }
 
-// SetCold limits admissions to the rate per second until the time.
-func (qu *Queue[T]) SetCold(until time.Time, rate float64) {
-	qu.coldUntil, qu.coldRate = until, rate
+// SetCold limits admissions to the cold rate until the time. What was said
+// before is not shortened: a target does not warm up sooner than it said.
+func (qu *Queue[T]) SetCold(until time.Time) {
+	if until.After(qu.coldUntil) {
+		qu.coldUntil = until
+	}
+}
+
+// Warm forgets that the target was cold, because another one took its place.
+func (qu *Queue[T]) Warm() {
+	qu.coldUntil = time.Time{}
+}
+
+// SetColdRate sets the number of requests per second that a cold target bears;
+// zero sets no limit.
+func (qu *Queue[T]) SetColdRate(rate float64) {
+	qu.coldRate = rate
+}
+
+// Hold counts the cold rate as used up, because the admissions of an earlier
+// process are not known.
+func (qu *Queue[T]) Hold(now time.Time) {
+	qu.starts = qu.starts[:0]
+	for range max(int(qu.coldRate), 1) {
+		qu.starts = append(qu.starts, now)
+	}
 }
 
 // Cold reports whether the target is cold.
@@ -202,7 +223,7 @@
 func (qu *Queue[T]) RetryAfter(re Request, now time.Time) time.Duration {
 	ahead := 0
 	for _, other := range qu.waiting {
-		if rank(&other.Request) <= rank(&re) {
+		if other.Priority <= re.Priority {
 			ahead++
 		}
 	}
@@ -275,7 +296,7 @@
 // latestStart is the latest expected start at which a request is let wait.
 func (qu *Queue[T]) latestStart(ti *Ticket[T]) time.Time {
 	last := qu.lastUsefulStart(ti)
-	if ti.Returning || ti.Inner {
+	if ti.Returning {
 		return last
 	}
 	late := time.Duration(lateShare * float64(ti.Deadline.Sub(ti.Objective)))
@@ -326,20 +347,12 @@
 	return ti
 }
 
-// rank orders by urgency: inner requests first, then by priority.
-func rank(re *Request) int {
-	if re.Inner {
-		return -1
-	}
-	return re.Priority
-}
-
-// compare orders waiting requests: by rank; those that can still meet their
+// compare orders waiting requests: by priority; those that can still meet their
 // objective before those that cannot; returning ones before new ones; then by
 // arrival.
 func (qu *Queue[T]) compare(a, b *Ticket[T], now time.Time) int {
 	return cmp.Or(
-		cmp.Compare(rank(&a.Request), rank(&b.Request)),
+		cmp.Compare(a.Priority, b.Priority),
 		compareBool(late(a, now), late(b, now)),
 		compareBool(b.Returning, a.Returning),
 		cmp.Compare(a.number, b.number),
--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -22,8 +22,9 @@
 	// buckets is the number of parts of the window.
 	buckets = 20
 	// caution is the part of the budget that a node uses. The rest covers the
-	// requests that repeated runs make themselves and the edges of windows.
-	caution = 0.5
+	// calls of repeated runs, which count as repeats at the services that they
+	// call, and the edges of windows.
+	caution = 0.35
 )
 
 type bucket struct {
--- a/internal/carrier/events.go
+++ b/internal/carrier/events.go
@@ -73,14 +73,11 @@
 		fields["config"] = vi.Config.Version
 	}
 	if rq.route != nil {
-		fields["route"] = rq.route.Name
+		fields["route"], fields["priority"] = rq.route.Name, rq.route.Priority
 	}
 	if rq.target != "" {
 		fields["target"] = rq.target
 	}
-	if rq.inner {
-		fields["inner"] = true
-	}
 	if rq.returning {
 		fields["returning"] = true
 	}
--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -80,7 +80,7 @@
 		ca.finish(w, rq, vi, refusal(answerer.NoRoute, "no route matches the host and path", 0))
 		return
 	}
-	ca.complete(rq, r)
+	ca.complete(rq)
 	jo := &journey{Carrier: ca, rq: rq, view: vi}
 	rs := jo.run(r.Context())
 	ca.finish(w, rq, vi, rs)
@@ -100,20 +100,16 @@
 }
 
 // complete fills in what follows from the route and the sender.
-func (ca *Carrier) complete(rq *request, r *http.Request) {
+func (ca *Carrier) complete(rq *request) {
 	rq.caller = ca.config.Caller()
-	rq.inner = remoteIP(r) == ca.config.Self.Addr()
 	left := rq.route.Timeout
 	if !rq.deadline.IsZero() {
 		left = rq.deadline.Sub(rq.arrived)
 	}
-	objective := rq.route.Objective
-	if !rq.inner {
-		usual := ca.usualTime(rq.route.Name, left)
-		rq.returning = float64(left) < returningPart*float64(usual)
-		objective -= usual - left
-	}
-	rq.objective = rq.arrived.Add(objective)
+	// The objective counts from the client's first attempt.
+	usual := ca.usualTime(rq.route.Name, left)
+	rq.returning = float64(left) < returningPart*float64(usual)
+	rq.objective = rq.arrived.Add(rq.route.Objective - (usual - left))
 	rq.deadline = rq.arrived.Add(min(left, rq.route.Timeout))
 }
 
--- a/internal/carrier/gate.go
+++ b/internal/carrier/gate.go
@@ -19,6 +19,10 @@
 	unverifiedRetry = 200 * time.Millisecond
 	// badWeight is the weight of the newest request in the share of failed ones.
 	badWeight = 0.05
+	// firstSequences are the sequence numbers of a target that has just started;
+	// one that is first heard of with a greater number may have been sent requests
+	// by an earlier process of this node.
+	firstSequences = 2
 	// sweepTime is how often waiting requests are looked through.
 	sweepTime = 50 * time.Millisecond
 	// leavingRetry is when a caller may try again after a node or a target that
@@ -49,6 +53,8 @@
 	// and how long it stays cold, since the node last had a reason to doubt it.
 	verified bool
 	leaving  bool
+	// ruled says that the rules are known.
+	ruled bool
 	// out and barred say that the data centre or the version gets nothing.
 	out, barred bool
 	collector   *stager.Collector
@@ -73,11 +79,14 @@
 }
 
 // Heartbeat takes a heartbeat of the target.
-func (ga *Gate) Heartbeat(he registrar.Heartbeat, coldRate float64) registrar.Verdict {
+func (ga *Gate) Heartbeat(he registrar.Heartbeat) registrar.Verdict {
 	now := ga.now()
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	before := ga.own.Current()
+	if before.State == registrar.Unknown && he.Sequence > firstSequences {
+		ga.queue.Hold(now)
+	}
 	verdict := ga.own.Heartbeat(he)
 	if verdict == registrar.Stale {
 		return verdict
@@ -92,7 +101,7 @@
 		}
 	}
 	if he.ColdLeft > 0 {
-		ga.queue.SetCold(now.Add(he.ColdLeft), coldRate)
+		ga.queue.SetCold(now.Add(he.ColdLeft))
 	}
 	ga.verified = true
 	ga.move(ga.queue.Advance(now))
@@ -104,6 +113,7 @@
 	ga.collector = stager.NewCollector()
 	ga.guarded = false
 	ga.bad = 0
+	ga.queue.Warm()
 	ga.pool.drop()
 }
 
@@ -127,11 +137,12 @@
 	if ga.own.Current().State == registrar.Unknown {
 		ga.own.Restore(in)
 		ga.queue.SetSlots(in.Slots)
+		ga.queue.Hold(ga.now())
 	}
 }
 
 // Verify takes the answer of a health check.
-func (ga *Gate) Verify(id string, coldLeft time.Duration, coldRate float64) bool {
+func (ga *Gate) Verify(id string, coldLeft time.Duration) bool {
 	now := ga.now()
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
@@ -140,7 +151,7 @@
 		return false
 	}
 	if coldLeft > 0 {
-		ga.queue.SetCold(now.Add(coldLeft), coldRate)
+		ga.queue.SetCold(now.Add(coldLeft))
 	}
 	ga.verified = true
 	ga.move(ga.queue.Advance(now))
@@ -162,15 +173,28 @@
 	return !ga.verified && ga.own.Current().State == registrar.Ready
 }
 
-// Permit says whether operators have taken the data centre out, whether the
-// target's version is barred, and whether a rollout of it is under way.
-func (ga *Gate) Permit(out, barred, guard bool) {
+// Rules bind the target from outside.
+type Rules struct {
+	// Out says that operators have taken the data centre out.
+	Out bool
+	// Barred says that the target's version gets nothing, Guard that a rollout of
+	// it is under way.
+	Barred, Guard bool
+	// ColdRate is the rate per second that the service's targets bear while cold.
+	ColdRate float64
+}
+
+// Permit sets what binds the target. Before the first call it gets nothing.
+func (ga *Gate) Permit(ru Rules) {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
+	out, barred := ru.Out, ru.Barred
+	ga.ruled = true
+	ga.queue.SetColdRate(ru.ColdRate)
 	if ga.out && !out {
 		ga.verified = false // targets may be cold when their data centre returns
 	}
-	ga.out, ga.barred, ga.guard = out, barred, guard
+	ga.out, ga.barred, ga.guard = out, barred, ru.Guard
 	if out {
 		ga.refuseWaiting(answerer.DataCentreOut, "the data centre is out")
 	}
@@ -250,8 +274,7 @@
 // forQueue returns what the queue needs to know of the request.
 func (rq *request) forQueue(work time.Duration) admitter.Request {
 	re := admitter.Request{
-		Inner: rq.inner, Returning: rq.returning, Deadline: rq.deadline,
-		Objective: rq.objective, Work: work,
+		Returning: rq.returning, Deadline: rq.deadline, Objective: rq.objective, Work: work,
 	}
 	if rq.route != nil {
 		re.Priority = rq.route.Priority
@@ -275,7 +298,7 @@
 		return refusal(answerer.DataCentreOut, "the data centre is out", leavingRetry)
 	case ga.barred || ga.guarded:
 		return refusal(answerer.NoTarget, "the version gets no requests", leavingRetry)
-	case !ga.verified:
+	case !ga.verified || !ga.ruled:
 		return refusal(answerer.NoTarget, "the target is being verified", unverifiedRetry)
 	}
 	return nil
--- a/internal/carrier/request.go
+++ b/internal/carrier/request.go
@@ -4,7 +4,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -26,7 +25,6 @@
 	// headerUnknown holds the kind of an attempt whose outcome is unknown.
 	headerUnknown = "Gs-Unknown"
 
-	flagInner     = 'i'
 	flagReturning = 'r'
 
 	// returningPart is the part of the usual time at which a request counts as
@@ -52,7 +50,6 @@
 	objective time.Time
 	route     *matcher.Route
 	caller    string
-	inner     bool
 	returning bool
 	// target is the incarnation that a request from another node is meant for.
 	target string
@@ -120,29 +117,14 @@
 	return host
 }
 
-// remoteIP returns the IP address of the other end.
-func remoteIP(r *http.Request) netip.Addr {
-	ap, err := netip.ParseAddrPort(r.RemoteAddr)
-	if err != nil {
-		return netip.Addr{}
-	}
-	return ap.Addr().Unmap()
-}
-
 // encodeHop writes the hop header of a request to another node.
 func (rq *request) encodeHop(target string, now time.Time) string {
 	text := make([]byte, 0, 48)
 	text = append(text, target...)
 	text = append(text, ' ')
 	text = strconv.AppendInt(text, rq.objective.Sub(now).Milliseconds(), 10)
-	if rq.inner || rq.returning {
-		text = append(text, ' ')
-	}
-	if rq.inner {
-		text = append(text, flagInner)
-	}
 	if rq.returning {
-		text = append(text, flagReturning)
+		text = append(text, ' ', flagReturning)
 	}
 	return string(text)
 }
@@ -159,10 +141,7 @@
 	}
 	rq.target = parts[0]
 	rq.objective = now.Add(time.Duration(left) * time.Millisecond)
-	if len(parts) == 3 {
-		rq.inner = strings.IndexByte(parts[2], flagInner) >= 0
-		rq.returning = strings.IndexByte(parts[2], flagReturning) >= 0
-	}
+	rq.returning = len(parts) == 3 && strings.IndexByte(parts[2], flagReturning) >= 0
 	return nil
 }
 
--- a/internal/meshrunner/keep.go
+++ b/internal/meshrunner/keep.go
@@ -120,7 +120,7 @@
 // whether it is cold.
 func (ru *Runner) verify(ctx context.Context) {
 	in := ru.gate.Current()
-	path, rate := ru.healthOf(in.Service)
+	path := ru.healthPath(in.Service)
 	if path == "" {
 		return
 	}
@@ -129,23 +129,19 @@
 		ru.Log.WithError(err).WithField("target", in.ID).Info("target not verified")
 		return
 	}
-	ok := ru.gate.Verify(id, cold, rate)
+	ok := ru.gate.Verify(id, cold)
 	ru.Log.WithFields(logrus.Fields{
 		"target": in.ID, "found": id, "coldMs": cold.Milliseconds(), "verified": ok,
 	}).Info("target verified")
 }
 
-// healthOf returns the path of the health check and the cold rate of a service.
-func (ru *Runner) healthOf(service string) (string, float64) {
+// healthPath returns the path of the service's health check, or "".
+func (ru *Runner) healthPath(service string) string {
 	vi := ru.carrier.View()
-	if vi == nil {
-		return "", 0
+	if vi == nil || vi.Config.Services[service] == nil {
+		return ""
 	}
-	se := vi.Config.Services[service]
-	if se == nil {
-		return "", 0
-	}
-	return se.HealthPath, se.ColdRate
+	return vi.Config.Services[service].HealthPath
 }
 
 // health makes a health check on a connection of its own.
--- a/internal/meshrunner/member.go
+++ b/internal/meshrunner/member.go
@@ -20,17 +20,12 @@
 		ru.Malformed(he.ID, err)
 		return err
 	}
-	rate := 0.0
-	if vi := ru.carrier.View(); vi != nil {
-		service := vi.Config.Services[he.Service]
-		if service == nil {
-			err := fmt.Errorf("service %q does not exist", he.Service)
-			ru.Malformed(he.ID, err)
-			return err
-		}
-		rate = service.ColdRate
+	if vi := ru.carrier.View(); vi != nil && vi.Config.Services[he.Service] == nil {
+		err := fmt.Errorf("service %q does not exist", he.Service)
+		ru.Malformed(he.ID, err)
+		return err
 	}
-	if ru.gate.Heartbeat(he, rate) != registrar.Changed {
+	if ru.gate.Heartbeat(he) != registrar.Changed {
 		return nil
 	}
 	ru.Log.WithFields(logrus.Fields{
--- a/internal/meshrunner/view.go
+++ b/internal/meshrunner/view.go
@@ -195,7 +195,11 @@
 	ve := vi.Versions[own.Service]
 	barred := own.Target != "" && !ve.Allows(own.Version)
 	guard := ve.Next != "" && ve.Next == own.Version
-	ru.gate.Permit(vi.Out[own.DataCentre], barred, guard)
+	rules := carrier.Rules{Out: vi.Out[own.DataCentre], Barred: barred, Guard: guard}
+	if service := vi.Config.Services[own.Service]; service != nil {
+		rules.ColdRate = service.ColdRate
+	}
+	ru.gate.Permit(rules)
 }
 
 // nodes returns the addresses of the other nodes.
