Serve calls before new requests, and keep waits within the objective

Waits up to half the way to the deadline made every request late while the overload lasted, and one wait was reported for all ranks. A call is known by its ID, which extends that of a request its target works on; ranks, waits and refusals are kept apart. Ruled out: telling calls by the sender's address, which clients share. Conclusion: capacity goes to requests that still meet their objective.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -22,20 +22,44 @@
 	minRetryAfter = 50 * time.Millisecond
 	// rateWindow is the sliding window of the cold rate, which is a rate per second.
 	rateWindow = time.Second
-	// lateShare is the share of the time between the objective and the deadline
-	// that a first-time request may be expected to need. One that returns after a
-	// refusal may use all of it, because it cannot return again.
-	lateShare = 0.5
+	// latePart is the part of its objective that a request waits at most which
+	// cannot meet the objective any more.
+	latePart = 0.25
 )
 
+// Rank orders requests by urgency; a smaller one goes first.
+type Rank uint8
+
+// The ranks.
+const (
+	// Inner is the rank of calls that a request at work elsewhere waits for.
+	Inner Rank = iota
+	// First, Second and Third are the ranks of priorities 0, 1, and 2 and above.
+	First
+	Second
+	Third
+	// Ranks is the number of ranks.
+	Ranks
+)
+
+// RankOf returns the rank of a request. Calls go before new requests: when one
+// is refused, the slot that its caller holds was for nothing.
+func RankOf(inner bool, priority int) Rank {
+	if inner {
+		return Inner
+	}
+	return First + Rank(min(max(priority, 0), int(Third-First)))
+}
+
 // Request is what the queue needs to know of a request.
 type Request struct {
-	// Priority ranks requests; 0 is the most urgent.
-	Priority int
+	Rank Rank
 	// Returning says that the request was refused before.
 	Returning bool
-	// Objective is until when a response has its full value.
+	// Objective is until when a response has its full value, and Usual the time
+	// that the objective allows a request of its kind.
 	Objective time.Time
+	Usual     time.Duration
 	// Deadline is when a response becomes useless.
 	Deadline time.Time
 	// Work is the expected time at the target.
@@ -50,6 +74,8 @@
 
 	number uint64
 	queued bool
+	// patience is until when the request waits even if it is late.
+	patience time.Time
 }
 
 // Verdict is the answer to an offer.
@@ -149,6 +175,7 @@
 func (qu *Queue[T]) Offer(re Request, value T, now time.Time) (*Ticket[T], Verdict, Change[T]) {
 	qu.numbers++
 	ti := &Ticket[T]{Request: re, Value: value, number: qu.numbers}
+	ti.patience = now.Add(time.Duration(latePart * float64(re.Usual)))
 	if len(qu.waiting) == 0 && qu.free(now) {
 		qu.start(now)
 		return ti, Admitted, Change[T]{}
@@ -219,11 +246,11 @@
 	return all
 }
 
-// RetryAfter is when room for another request of the priority is expected.
+// RetryAfter is when room for another request of the rank is expected.
 func (qu *Queue[T]) RetryAfter(re Request, now time.Time) time.Duration {
 	ahead := 0
 	for _, other := range qu.waiting {
-		if other.Priority <= re.Priority {
+		if other.Rank <= re.Rank {
 			ahead++
 		}
 	}
@@ -239,12 +266,21 @@
 	return now.Add(qu.coldWait(0, now)), true
 }
 
-// Delay is how long a new request of average urgency would wait.
-func (qu *Queue[T]) Delay(now time.Time) time.Duration {
-	if len(qu.waiting) == 0 && qu.free(now) {
-		return 0
+// Ahead returns the number of waiting requests of each rank and the ranks
+// before it.
+func (qu *Queue[T]) Ahead() [Ranks]int {
+	var ahead [Ranks]int
+	for _, ti := range qu.waiting {
+		for ra := ti.Rank; ra < Ranks; ra++ {
+			ahead[ra]++
+		}
 	}
-	return qu.waitFor(len(qu.waiting), now)
+	return ahead
+}
+
+// ColdDelay is how long the cold rate holds a new request back.
+func (qu *Queue[T]) ColdDelay(now time.Time) time.Duration {
+	return qu.coldWait(len(qu.waiting), now)
 }
 
 func (qu *Queue[T]) start(now time.Time) {
@@ -293,17 +329,18 @@
 	return max(wait, qu.coldWait(ahead, now))
 }
 
-// latestStart is the latest expected start at which a request is let wait.
+// latestStart is the latest expected start at which a request is let wait: one
+// that meets the objective, or soon for a request that cannot meet it. Longer
+// waits would make all requests late while the overload lasts.
 func (qu *Queue[T]) latestStart(ti *Ticket[T]) time.Time {
-	last := qu.lastUsefulStart(ti)
-	if ti.Returning {
-		return last
+	bound := ti.Objective.Add(-ti.Work)
+	if bound.Before(ti.patience) {
+		bound = ti.patience
 	}
-	late := time.Duration(lateShare * float64(ti.Deadline.Sub(ti.Objective)))
-	if bound := ti.Objective.Add(late - ti.Work); bound.Before(last) {
-		return bound
+	if last := qu.lastUsefulStart(ti); last.Before(bound) {
+		return last
 	}
-	return last
+	return bound
 }
 
 // lastUsefulStart is the latest start from which the response meets the deadline.
@@ -311,6 +348,19 @@
 	return ti.Deadline.Add(-ti.Work)
 }
 
+// latestWait is the latest expected start at which a waiting request stays. One
+// that others have pushed back past its objective stays on if room is near.
+func (qu *Queue[T]) latestWait(ti *Ticket[T]) time.Time {
+	bound := ti.Objective.Add(time.Duration(latePart * float64(ti.Usual)))
+	if bound.Before(ti.patience) {
+		bound = ti.patience
+	}
+	if last := qu.lastUsefulStart(ti); last.Before(bound) {
+		return last
+	}
+	return bound
+}
+
 // evict removes the waiting requests that are not expected to start in time.
 func (qu *Queue[T]) evict(now time.Time) []*Ticket[T] {
 	var out []*Ticket[T]
@@ -322,7 +372,7 @@
 				ahead++
 			}
 		}
-		if now.Add(qu.waitFor(ahead, now)).After(qu.lastUsefulStart(ti)) {
+		if now.Add(qu.waitFor(ahead, now)).After(qu.latestWait(ti)) {
 			out = append(out, qu.remove(nn))
 			nn--
 		}
@@ -347,12 +397,12 @@
 	return ti
 }
 
-// compare orders waiting requests: by priority; those that can still meet their
+// compare orders waiting requests: by rank; those that can still meet their
 // objective before those that cannot; returning ones before new ones; then by
 // arrival.
 func (qu *Queue[T]) compare(a, b *Ticket[T], now time.Time) int {
 	return cmp.Or(
-		cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(a.Rank, b.Rank),
 		compareBool(late(a, now), late(b, now)),
 		compareBool(b.Returning, a.Returning),
 		cmp.Compare(a.number, b.number),
--- a/internal/carrier/events.go
+++ b/internal/carrier/events.go
@@ -78,6 +78,9 @@
 	if rq.target != "" {
 		fields["target"] = rq.target
 	}
+	if rq.inner {
+		fields["inner"] = true
+	}
 	if rq.returning {
 		fields["returning"] = true
 	}
--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/guavastall/guavastall/internal/admitter"
 	"github.com/guavastall/guavastall/internal/answerer"
 	"github.com/guavastall/guavastall/internal/budgeter"
 	"github.com/guavastall/guavastall/internal/matcher"
@@ -21,7 +22,7 @@
 const (
 	// maxPlacements bounds the targets whose nodes are asked for one request. A
 	// refusal by a node costs a round trip and does not reach the target.
-	maxPlacements = 4
+	maxPlacements = 3
 	// maxRetryPart is the part of the remaining time up to which clients wait
 	// before they return.
 	maxRetryPart = 1.0 / 3
@@ -113,10 +114,16 @@
 	if !rq.deadline.IsZero() {
 		left = rq.deadline.Sub(rq.arrived)
 	}
+	if end := strings.LastIndexByte(rq.id, '.'); end > 0 {
+		rq.inner = ca.gate.Runs(rq.id[:end])
+	}
 	// The objective counts from the client's first attempt.
 	usual := ca.usualTime(rq.route.Name, left)
-	rq.returning = float64(left) < returningPart*float64(usual)
-	rq.objective = rq.arrived.Add(rq.route.Objective - (usual - left))
+	rq.objective = rq.arrived.Add(rq.route.Objective)
+	if !rq.inner {
+		rq.returning = float64(left) < returningPart*float64(usual)
+		rq.objective = rq.objective.Add(left - usual)
+	}
 	rq.deadline = rq.arrived.Add(min(left, rq.route.Timeout))
 }
 
@@ -216,7 +223,7 @@
 	jo.mu.Lock()
 	ch, ok := jo.placer.Pick(targets, placer.Request{
 		DataCentre: jo.config.DataCentre, Own: jo.config.Self, Route: jo.rq.route.Name,
-		Objective: jo.rq.objective.Sub(now), Tried: jo.tried,
+		Objective: jo.rq.objective.Sub(now), Tried: jo.tried, Rank: jo.rq.rank(),
 	}, now)
 	jo.mu.Unlock()
 	if !ok {
@@ -297,7 +304,11 @@
 		jo.placer.Unreachable(ta.Node, now)
 	}
 	if rs.outcome == retrier.NotRun && !rs.reached && rs.kind != answerer.Cancelled {
-		jo.placer.Avoid(ta.ID, max(rs.retryAfter, minRetryAfter), now)
+		rank := jo.rq.rank()
+		if rs.kind != answerer.Overloaded {
+			rank = admitter.Inner // the target refuses every request
+		}
+		jo.placer.Avoid(ta.ID, rank, max(rs.retryAfter, minRetryAfter), now)
 	}
 	if rs.reached {
 		jo.reached++
--- a/internal/carrier/gate.go
+++ b/internal/carrier/gate.go
@@ -63,6 +63,8 @@
 	guard bool
 	bad   float64
 	wake  *time.Timer
+	// runs counts the requests that the target works on, by ID.
+	runs map[string]int
 }
 
 // NewGate returns a gate for the target at the address.
@@ -71,7 +73,7 @@
 	po.maxIdle = maxIdle
 	ga := &Gate{
 		now: now, pool: po, queue: admitter.New[*waiter](1),
-		collector: stager.NewCollector(),
+		collector: stager.NewCollector(), runs: map[string]int{},
 	}
 	ga.wake = time.AfterFunc(time.Hour, ga.advance)
 	ga.wake.Stop()
@@ -274,14 +276,39 @@
 // forQueue returns what the queue needs to know of the request.
 func (rq *request) forQueue(work time.Duration) admitter.Request {
 	re := admitter.Request{
-		Returning: rq.returning, Deadline: rq.deadline, Objective: rq.objective, Work: work,
+		Rank: rq.rank(), Returning: rq.returning, Deadline: rq.deadline, Objective: rq.objective, Work: work,
 	}
 	if rq.route != nil {
-		re.Priority = rq.route.Priority
+		re.Usual = rq.route.Objective
 	}
 	return re
 }
 
+// rank returns the rank of the request.
+func (rq *request) rank() admitter.Rank {
+	priority := 0
+	if rq.route != nil {
+		priority = rq.route.Priority
+	}
+	return admitter.RankOf(rq.inner, priority)
+}
+
+// Runs reports whether the target works on the request with the ID.
+func (ga *Gate) Runs(id string) bool {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.runs[id] > 0
+}
+
+// mark counts a request in or out of those that the target works on.
+func (ga *Gate) mark(id string, change int) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if ga.runs[id] += change; ga.runs[id] <= 0 {
+		delete(ga.runs, id)
+	}
+}
+
 // closed returns a refusal if the target takes no requests now.
 func (ga *Gate) closed(target string) *result {
 	cu := ga.own.Current()
@@ -341,8 +368,8 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	return &placer.Report{
-		Running: ga.queue.Running(), Waiting: ga.queue.Len(), Slots: ga.queue.Slots(),
-		Work: ga.queue.Work(), Delay: ga.queue.Delay(now), Bad: ga.bad,
+		Running: ga.queue.Running(), Ahead: ga.queue.Ahead(), Slots: ga.queue.Slots(),
+		Work: ga.queue.Work(), Delay: ga.queue.ColdDelay(now), Bad: ga.bad,
 	}
 }
 
--- a/internal/carrier/last.go
+++ b/internal/carrier/last.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/guavastall/guavastall/internal/admitter"
 	"github.com/guavastall/guavastall/internal/answerer"
 	"github.com/guavastall/guavastall/internal/placer"
 	"github.com/guavastall/guavastall/internal/retrier"
@@ -63,7 +64,7 @@
 			return map[string]any{
 				"kind": rs.kind.String(), "detail": rs.detail, "target": rq.target,
 				"waitedMs": ca.config.Now().Sub(began).Milliseconds(),
-				"running":  rs.report.Running, "waiting": rs.report.Waiting,
+				"running":  rs.report.Running, "ahead": rs.report.Ahead, "rank": rq.rank(),
 				"workMs": work.Milliseconds(), "retryMs": rs.retryAfter.Milliseconds(),
 			}
 		})
@@ -91,6 +92,8 @@
 		ca.gate.exit(0)
 		return refusal(answerer.DeadlineExceeded, "no time left at the target", 0)
 	}
+	ca.gate.mark(rq.id, 1)
+	defer ca.gate.mark(rq.id, -1)
 	re, sent, err := ca.gate.pool.send(ctx, &exchange{
 		id: rq.id, idName: na.RequestID, method: rq.method, uri: rq.uri, host: rq.host,
 		header: rq.header, body: rq.body, until: rq.deadline.Add(answerSlack),
@@ -241,15 +244,18 @@
 }
 
 // loadFields is the number of values in a load header.
-const loadFields = 7
+const loadFields = 6 + int(admitter.Ranks)
 
 func encodeLoad(re *placer.Report) string {
-	text := make([]byte, 0, 40)
-	for nn, value := range []int64{
-		int64(re.Running), int64(re.Waiting), int64(re.Slots),
-		re.Work.Milliseconds(), re.Delay.Milliseconds(), int64(100 * re.Bad),
-		re.Took.Milliseconds(),
-	} {
+	values := [loadFields]int64{
+		int64(re.Running), int64(re.Slots), re.Work.Milliseconds(),
+		re.Delay.Milliseconds(), int64(100 * re.Bad), re.Took.Milliseconds(),
+	}
+	for ra, ahead := range re.Ahead {
+		values[6+ra] = int64(ahead)
+	}
+	text := make([]byte, 0, 48)
+	for nn, value := range values {
 		if nn > 0 {
 			text = append(text, ' ')
 		}
@@ -273,11 +279,13 @@
 		}
 		values[nn] = value
 	}
-	return &placer.Report{
-		Running: values[0], Waiting: values[1], Slots: values[2],
-		Work:  time.Duration(values[3]) * time.Millisecond,
-		Delay: time.Duration(values[4]) * time.Millisecond,
-		Bad:   float64(values[5]) / 100,
-		Took:  time.Duration(values[6]) * time.Millisecond,
+	re := &placer.Report{
+		Running: values[0], Slots: values[1],
+		Work:  time.Duration(values[2]) * time.Millisecond,
+		Delay: time.Duration(values[3]) * time.Millisecond,
+		Bad:   float64(values[4]) / 100,
+		Took:  time.Duration(values[5]) * time.Millisecond,
 	}
+	copy(re.Ahead[:], values[6:])
+	return re
 }
--- a/internal/carrier/request.go
+++ b/internal/carrier/request.go
@@ -25,6 +25,7 @@
 	// headerUnknown holds the kind of an attempt whose outcome is unknown.
 	headerUnknown = "Gs-Unknown"
 
+	flagInner     = 'i'
 	flagReturning = 'r'
 
 	// returningPart is the part of the usual time at which a request counts as
@@ -50,6 +51,9 @@
 	objective time.Time
 	route     *matcher.Route
 	caller    string
+	// inner says that the target next to the first node made the request while
+	// it worked on another.
+	inner     bool
 	returning bool
 	// target is the incarnation that a request from another node is meant for.
 	target string
@@ -123,8 +127,14 @@
 	text = append(text, target...)
 	text = append(text, ' ')
 	text = strconv.AppendInt(text, rq.objective.Sub(now).Milliseconds(), 10)
+	if rq.inner || rq.returning {
+		text = append(text, ' ')
+	}
+	if rq.inner {
+		text = append(text, flagInner)
+	}
 	if rq.returning {
-		text = append(text, ' ', flagReturning)
+		text = append(text, flagReturning)
 	}
 	return string(text)
 }
@@ -141,7 +151,10 @@
 	}
 	rq.target = parts[0]
 	rq.objective = now.Add(time.Duration(left) * time.Millisecond)
-	rq.returning = len(parts) == 3 && strings.IndexByte(parts[2], flagReturning) >= 0
+	if len(parts) == 3 {
+		rq.inner = strings.IndexByte(parts[2], flagInner) >= 0
+		rq.returning = strings.IndexByte(parts[2], flagReturning) >= 0
+	}
 	return nil
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -13,6 +13,8 @@
 	"math/rand/v2"
 	"net/netip"
 	"time"
+
+	"github.com/guavastall/guavastall/internal/admitter"
 )
 
 const (
@@ -61,10 +63,12 @@
 
 // Report is the load of a target as its node knows it.
 type Report struct {
-	Running, Waiting, Slots int
+	Running, Slots int
+	// Ahead is the number of waiting requests of each rank and those before it.
+	Ahead [admitter.Ranks]int
 	// Work is the average time of a request at the target.
 	Work time.Duration
-	// Delay is the expected wait of a new request.
+	// Delay is how long the target's cold rate holds a new request back.
 	Delay time.Duration
 	// Bad is the recent share of failed requests.
 	Bad float64
@@ -77,6 +81,7 @@
 type Request struct {
 	DataCentre string
 	Route      string
+	Rank       admitter.Rank
 	// Own is the node that chooses.
 	Own netip.AddrPort
 	// Objective is the time left within which the response has its full value.
@@ -102,8 +107,8 @@
 	// outstanding are this node's requests at the target; sinceReport are those
 	// of them that began after the report.
 	outstanding, sinceReport int
-	// avoidUntil is set by a refusal.
-	avoidUntil time.Time
+	// avoidUntil is set by refusals, for each rank.
+	avoidUntil [admitter.Ranks]time.Time
 	// slowness is the target's average time relative to that of the routes; zero
 	// if unknown.
 	slowness float64
@@ -181,8 +186,8 @@
 		if lo.slowness > 0 {
 			work = time.Duration(lo.slowness * float64(work))
 		}
-		wait, used = lo.expected(ta.Slots, now)
-		if rest := lo.avoidUntil.Sub(now); rest > wait {
+		wait, used = lo.expected(ta.Slots, re.Rank, now)
+		if rest := lo.avoidUntil[re.Rank].Sub(now); rest > wait {
 			wait = rest
 		}
 		bad = lo.bad(now)
@@ -227,7 +232,9 @@
 }
 
 // expected returns the expected wait and the part of the slots in use.
-func (lo *load) expected(slots int, now time.Time) (time.Duration, float64) {
+func (lo *load) expected(
+	slots int, rank admitter.Rank, now time.Time,
+) (time.Duration, float64) {
 	if slots < 1 {
 		slots = 1
 	}
@@ -236,7 +243,7 @@
 	delay := time.Duration(0)
 	if lo.reported {
 		trust := lo.trust(now)
-		known := float64(lo.report.Running+lo.report.Waiting) + float64(lo.sinceReport)
+		known := float64(lo.report.Running + lo.report.Ahead[rank] + lo.sinceReport)
 		busy = max(busy, trust*known)
 		work = lo.report.Work
 		delay = time.Duration(trust*float64(lo.report.Delay)) - now.Sub(lo.reportedAt)
@@ -289,7 +296,7 @@
 	lo.outstanding--
 	if re != nil {
 		lo.report, lo.reportedAt, lo.reported, lo.sinceReport = *re, now, true, 0
-		lo.avoidUntil = time.Time{}
+		lo.avoidUntil = [admitter.Ranks]time.Time{}
 		if re.Took > 0 {
 			pl.learn(lo, route, re.Took)
 		}
@@ -298,9 +305,13 @@
 	}
 }
 
-// Avoid keeps requests from a target that refused one, for a time.
-func (pl *Placer) Avoid(id string, rest time.Duration, now time.Time) {
-	pl.load(id).avoidUntil = now.Add(rest)
+// Avoid keeps requests of the rank and less urgent ones from a target that
+// refused one, for a time.
+func (pl *Placer) Avoid(id string, rank admitter.Rank, rest time.Duration, now time.Time) {
+	lo := pl.load(id)
+	for ra := rank; ra < admitter.Ranks; ra++ {
+		lo.avoidUntil[ra] = now.Add(rest)
+	}
 }
 
 // Unreachable notes that a node could not be reached.
