--- /dev/null
+++ b/internal/admitter/admitter_test.go
@@ -0,0 +1,158 @@
+package admitter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+func request(rank Rank, now time.Time) Request {
+	return Request{
+		Rank: rank, Objective: now.Add(400 * time.Millisecond), Usual: 400 * time.Millisecond,
+		Deadline: now.Add(1500 * time.Millisecond), Work: 100 * time.Millisecond,
+	}
+}
+
+// fill returns a queue whose slots are all in use.
+func fill(slots int) *Queue[int] {
+	qu := New[int](slots)
+	for range slots {
+		_, verdict, _ := qu.Offer(request(First, epoch), 0, epoch)
+		if verdict != Admitted {
+			panic("a free slot was refused")
+		}
+	}
+	return qu
+}
+
+func TestUrgentFirst(t *testing.T) {
+	qu := fill(1)
+	var order []int
+	for value, rank := range []Rank{Third, Second, First, Inner} {
+		_, verdict, _ := qu.Offer(request(rank, epoch), value, epoch)
+		assert.Equal(t, Waiting, verdict)
+	}
+	for range 4 {
+		for _, ti := range qu.Done(0, epoch).Admitted {
+			order = append(order, ti.Value)
+		}
+	}
+	assert.Equal(t, []int{3, 2, 1, 0}, order)
+}
+
+func TestReturningFirst(t *testing.T) {
+	qu := fill(1)
+	qu.Offer(request(First, epoch), 1, epoch)
+	re := request(First, epoch)
+	re.Returning = true
+	qu.Offer(re, 2, epoch)
+	ch := qu.Done(0, epoch)
+	assert.Equal(t, 2, ch.Admitted[0].Value)
+}
+
+func TestRefusesWhatWouldBeLate(t *testing.T) {
+	qu := fill(1)
+	waiting := 0
+	for {
+		ti, verdict, _ := qu.Offer(request(First, epoch), 0, epoch)
+		if verdict == Refused {
+			assert.GreaterOrEqual(t, qu.RetryAfter(ti.Request, epoch), 300*time.Millisecond)
+			break
+		}
+		waiting++
+	}
+	assert.Equal(t, 3, waiting, "100 ms each, 400 ms to the objective")
+}
+
+func TestUrgentPushesOutLessUrgent(t *testing.T) {
+	qu := fill(1)
+	for value := range 3 {
+		qu.Offer(request(Third, epoch), value, epoch)
+	}
+	var out []int
+	for range 4 {
+		_, verdict, ch := qu.Offer(request(First, epoch), 9, epoch)
+		if verdict != Waiting {
+			break
+		}
+		for _, ti := range ch.Refused {
+			out = append(out, ti.Value)
+		}
+	}
+	assert.NotEmpty(t, out, "the last ones cannot be served any more")
+	assert.Equal(t, 2, out[0], "the last to come goes first")
+}
+
+func TestSlowTargetRefusesInTime(t *testing.T) {
+	qu := fill(1)
+	qu.Offer(request(First, epoch), 7, epoch)
+	assert.Empty(t, qu.Advance(at(300)).Refused)
+	refused := qu.Advance(at(600)).Refused
+	assert.Len(t, refused, 1, "the target has not finished anything")
+	assert.Zero(t, qu.Len())
+}
+
+func TestColdRate(t *testing.T) {
+	qu := New[int](18)
+	qu.SetColdRate(30)
+	qu.SetCold(epoch.Add(3 * time.Second))
+	admitted := make([]int, 40)
+	for tick := range 40 { // 4 s, 200 requests a second
+		now := at(100 * tick)
+		running := len(qu.Advance(now).Admitted)
+		for range 20 {
+			if _, verdict, _ := qu.Offer(request(First, now), 0, now); verdict == Admitted {
+				running++
+			}
+		}
+		for ; running > 0; running-- {
+			admitted[tick]++
+			running += len(qu.Done(0, now).Admitted)
+		}
+	}
+	for from := 0; from+10 <= 30; from++ {
+		sum := 0
+		for _, count := range admitted[from : from+10] {
+			sum += count
+		}
+		assert.LessOrEqual(t, sum, 30+1, "second at tick %d", from)
+	}
+	assert.Greater(t, admitted[35], 10, "warm")
+}
+
+func TestColdIsNotShortened(t *testing.T) {
+	qu := New[int](1)
+	qu.SetCold(at(3000))
+	qu.SetCold(at(1000))
+	assert.True(t, qu.Cold(at(2000)))
+	qu.Warm()
+	assert.False(t, qu.Cold(at(2000)))
+}
+
+// After a restart beside a running cold target, its rate counts as used up for
+// a second.
+func TestHold(t *testing.T) {
+	qu := New[int](18)
+	qu.SetColdRate(30)
+	qu.Hold(epoch)
+	qu.SetCold(at(3000))
+	_, verdict, _ := qu.Offer(request(First, epoch), 0, epoch)
+	assert.NotEqual(t, Admitted, verdict)
+	_, verdict, _ = qu.Offer(request(First, at(1001)), 0, at(1001))
+	assert.Equal(t, Admitted, verdict)
+}
+
+func TestLeaveAndClear(t *testing.T) {
+	qu := fill(1)
+	one, _, _ := qu.Offer(request(First, epoch), 1, epoch)
+	qu.Offer(request(First, epoch), 2, epoch)
+	assert.True(t, qu.Leave(one))
+	assert.False(t, qu.Leave(one))
+	assert.Len(t, qu.Clear(), 1)
+	assert.Zero(t, qu.Len())
+}
--- /dev/null
+++ b/internal/admitter/load_test.go
@@ -0,0 +1,166 @@
+package admitter
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// replay is a target under a load in virtual time.
+type replay struct {
+	random *rand.Rand
+	slots  int
+	// perSecond is the rate of each rank.
+	perSecond [Ranks]float64
+	work      time.Duration
+	duration  time.Duration
+}
+
+// outcome counts requests.
+type outcome struct {
+	offered, inTime, late, refused, expired [Ranks]int
+	// held is the longest wait of a request that was refused.
+	held time.Duration
+}
+
+type job struct {
+	re      Request
+	arrived time.Time
+}
+
+// policy is a way to queue.
+type policy interface {
+	offer(jo job, now time.Time) (verdict Verdict, moved Change[job])
+	done(now time.Time) Change[job]
+}
+
+type queuePolicy struct{ *Queue[job] }
+
+func (qp queuePolicy) offer(jo job, now time.Time) (Verdict, Change[job]) {
+	_, verdict, ch := qp.Offer(jo.re, jo, now)
+	return verdict, ch
+}
+
+func (qp queuePolicy) done(now time.Time) Change[job] {
+	return qp.Done(100*time.Millisecond, now)
+}
+
+// fifo is the naive policy: first come, first served, until the deadline.
+type fifo struct {
+	slots, running int
+	waiting        []job
+}
+
+func (fi *fifo) offer(jo job, _ time.Time) (Verdict, Change[job]) {
+	if fi.running < fi.slots {
+		fi.running++
+		return Admitted, Change[job]{}
+	}
+	fi.waiting = append(fi.waiting, jo)
+	return Waiting, Change[job]{}
+}
+
+func (fi *fifo) done(now time.Time) Change[job] {
+	fi.running--
+	var ch Change[job]
+	for len(fi.waiting) > 0 && fi.running < fi.slots {
+		jo := fi.waiting[0]
+		fi.waiting = fi.waiting[1:]
+		ti := &Ticket[job]{Value: jo}
+		if now.After(jo.re.Deadline) {
+			ch.Refused = append(ch.Refused, ti)
+			continue
+		}
+		fi.running++
+		ch.Admitted = append(ch.Admitted, ti)
+	}
+	return ch
+}
+
+func (rp replay) run(po policy) outcome {
+	var out outcome
+	ends := map[int][]job{}
+	start := func(jo job, tick int) {
+		took := time.Duration(float64(rp.work) * (0.5 + rp.random.Float64()))
+		end := tick + int(took.Milliseconds())
+		ends[end] = append(ends[end], jo)
+	}
+	apply := func(ch Change[job], tick int) {
+		for _, ti := range ch.Admitted {
+			start(ti.Value, tick)
+		}
+		for _, ti := range ch.Refused {
+			out.refused[ti.Value.re.Rank]++
+			out.held = max(out.held, at(tick).Sub(ti.Value.arrived))
+		}
+	}
+	for tick := range int(rp.duration.Milliseconds()) {
+		now := at(tick)
+		for _, jo := range ends[tick] {
+			switch {
+			case !now.After(jo.re.Objective):
+				out.inTime[jo.re.Rank]++
+			case !now.After(jo.re.Deadline):
+				out.late[jo.re.Rank]++
+			default:
+				out.expired[jo.re.Rank]++
+			}
+			apply(po.done(now), tick)
+		}
+		delete(ends, tick)
+		for ra, rate := range rp.perSecond {
+			if rp.random.Float64() >= rate/1000 {
+				continue
+			}
+			jo := job{request(Rank(ra), now), now}
+			out.offered[ra]++
+			verdict, ch := po.offer(jo, now)
+			switch verdict {
+			case Admitted:
+				start(jo, tick)
+			case Refused:
+				out.refused[ra]++
+			case Waiting:
+			}
+			apply(ch, tick)
+		}
+	}
+	return out
+}
+
+func overload() replay {
+	return replay{
+		random: rand.New(rand.NewPCG(5, 6)), slots: 9, work: 100 * time.Millisecond,
+		// 90 a second fit.
+		perSecond: [Ranks]float64{10, 0, 30, 100}, duration: 20 * time.Second,
+	}
+}
+
+// With half again as many requests as fit, the urgent ones meet their objective
+// and the target's time goes to responses that do, while a plain queue makes
+// all of them late.
+func TestOverload(t *testing.T) {
+	got := overload().run(queuePolicy{New[job](9)})
+	naive := overload().run(&fifo{slots: 9})
+	for _, ra := range []Rank{Inner, Second} {
+		assert.GreaterOrEqual(t, got.inTime[ra], got.offered[ra]*97/100, "rank %d", ra)
+	}
+	total := func(counts [Ranks]int) int {
+		sum := 0
+		for _, count := range counts {
+			sum += count
+		}
+		return sum
+	}
+	assert.Greater(t, total(got.inTime), 3*total(naive.inTime))
+	assert.Zero(t, total(got.expired))
+	assert.Greater(t, total(got.inTime)+total(got.late), 85*20, "the slots are in use")
+}
+
+// A refused request has waited for a part of its time only.
+func TestOverloadRefusesEarly(t *testing.T) {
+	got := overload().run(queuePolicy{New[job](9)})
+	assert.LessOrEqual(t, got.held, 600*time.Millisecond, "of 1.5 s")
+}
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -168,6 +168,13 @@
 	return ca.placer.Resting(ca.config.Now())
 }
 
+// Reachable reports whether nothing speaks against reaching the node.
+func (ca *Carrier) Reachable(node netip.AddrPort) bool {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	return ca.placer.Reachable(node)
+}
+
 // Probed notes the outcome of a probe of a node.
 func (ca *Carrier) Probed(node netip.AddrPort, ok bool) {
 	ca.mu.Lock()
--- /dev/null
+++ b/internal/logkeeper/logkeeper_test.go
@@ -0,0 +1,89 @@
+package logkeeper
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/guavastall/guavastall/internal/carrier"
+)
+
+// stuck is a pipe that nobody reads.
+type stuck struct{ release chan struct{} }
+
+func (st stuck) Write(data []byte) (int, error) {
+	<-st.release
+	return len(data), nil
+}
+
+func TestWriterNeverBlocks(t *testing.T) {
+	st := stuck{make(chan struct{})}
+	wr := NewWriter(st)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go wr.Run(ctx, done)
+	line := []byte(strings.Repeat("x", 999) + "\n")
+	for range 2000 { // 2 MB into 256 KiB
+		_, err := wr.Write(line)
+		assert.NoError(t, err)
+	}
+	assert.Positive(t, wr.Dropped())
+	cancel()
+	close(st.release)
+	<-done
+}
+
+type buffer struct {
+	sync.Mutex
+	bytes.Buffer
+}
+
+func (bu *buffer) Write(data []byte) (int, error) {
+	bu.Lock()
+	defer bu.Unlock()
+	return bu.Buffer.Write(data)
+}
+
+func TestWriterWritesAllAtTheEnd(t *testing.T) {
+	var out buffer
+	wr := NewWriter(&out)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go wr.Run(ctx, done)
+	for range 100 {
+		_, _ = wr.Write([]byte("line\n"))
+	}
+	cancel()
+	<-done
+	assert.Equal(t, 100, strings.Count(out.String(), "line\n"))
+}
+
+func TestRequestsBounded(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	re := NewRequests(log)
+	now := time.Unix(1_000_000, 0)
+	failed, served := 0, 0
+	for range 1000 {
+		if re.Wants(false, now) {
+			served++
+		}
+	}
+	for range 1000 {
+		if re.Wants(true, now) {
+			failed++
+		}
+	}
+	assert.Equal(t, servedPerSecond, served)
+	assert.Equal(t, failedPerSecond, failed, "served requests do not use up the lines of failed ones")
+	assert.Equal(t, int64(2000-served-failed), re.Skipped())
+	assert.True(t, re.Wants(false, now.Add(time.Second)))
+	re.Event(carrier.Event{Name: "request", ID: "1"})
+}
--- a/internal/meshrunner/member.go
+++ b/internal/meshrunner/member.go
@@ -107,7 +107,7 @@
 	}
 	se := ru.settings.Load()
 	en := registrar.NewEntry(se.Nodes, se.DataCentre, ru.gate.Current())
-	en.NodeLeaving = ru.leaving.Load()
+	en.NodeLeaving, en.Capacity = ru.leaving.Load(), se.Capacity
 	if en.Target == "" && !en.NodeLeaving {
 		return false, nil
 	}
--- a/internal/meshrunner/meshrunner.go
+++ b/internal/meshrunner/meshrunner.go
@@ -71,12 +71,16 @@
 }
 
 const (
-	// operatorWait is how long a read of the operator's topic waits; a silent
-	// connection is noticed soon after.
-	operatorWait = 2500 * time.Millisecond
+	// operatorWait is how long a read of the operator's topic waits, at the store
+	// or at the reader.
+	operatorWait = relayWait
+	// operatorPause is the least time between two reads of it, so that changes in
+	// quick succession cost few calls; it is a quarter of the time within which a
+	// change has to be in force.
+	operatorPause = 500 * time.Millisecond
 	// meshWait and meshPause are the wait and the least time between two reads
-	// of the mesh's topic.
-	meshWait  = 5 * time.Second
+	// of the mesh's topic. A silent connection is noticed by the other read.
+	meshWait  = 10 * time.Second
 	meshPause = 700 * time.Millisecond
 )
 
@@ -89,6 +93,7 @@
 	operator *replicator.Follower
 	mesh     *replicator.Follower
 	peers    *peers
+	zips     zips
 	client   *http.Client
 
 	// mu guards what follows; it is held while the view is rebuilt.
@@ -112,7 +117,7 @@
 	ru.settings.Store(se)
 	ru.client = &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: peerCallTime}).DialContext,
-		MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTime, DisableCompression: true,
+		MaxIdleConnsPerHost: 2, IdleConnTimeout: peerIdleTime,
 	}}
 	ru.peers = &peers{runner: ru, heard: map[netip.AddrPort]time.Time{}}
 	ru.gate = carrier.NewGate(se.Target, pa.Now)
@@ -122,13 +127,15 @@
 		Caller: func() string { return ru.settings.Load().Service },
 	}, ru.gate, pa.Events, pa.Metrics)
 	ru.operator = replicator.New(replicator.Config{
-		Topic: "operator", Wait: operatorWait, Changed: ru.operatorChanged, Log: pa.Log,
-		Now: pa.Now,
-	}, pa.Operator, ru.peers)
+		Topic: "operator", Wait: operatorWait, Pause: operatorPause,
+		Changed: ru.operatorChanged, Lost: func() { ru.mesh.Kick() }, Log: pa.Log, Now: pa.Now,
+	}, &relay{
+		Source: pa.Operator, runner: ru, topic: "operator", storeWait: readerWait,
+	}, ru.peers)
 	ru.mesh = replicator.New(replicator.Config{
 		Topic: "mesh", Wait: meshWait, Pause: meshPause, Changed: ru.meshChanged, Log: pa.Log,
 		Now: pa.Now,
-	}, pa.Mesh, ru.peers)
+	}, &relay{Source: pa.Mesh, runner: ru, topic: "mesh", storeWait: meshWait}, ru.peers)
 	return ru
 }
 
--- a/internal/meshrunner/peers.go
+++ b/internal/meshrunner/peers.go
@@ -37,6 +37,7 @@
 	sincePath    = "/guavastall/since"
 	helloPath    = "/guavastall/hello"
 	evidencePath = "/guavastall/evidence"
+	relayPath    = "/guavastall/relay"
 )
 
 // hello is the answer to a probe.
@@ -61,6 +62,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(sincePath, ru.serveSince)
 	mux.HandleFunc(helloPath, ru.serveHello)
+	mux.HandleFunc(relayPath, ru.serveRelay)
 	mux.HandleFunc(evidencePath, ru.serveEvidence)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if ru.carrier.IsHop(r) {
@@ -127,12 +129,16 @@
 	_, _ = w.Write(data) // the node that asked sees a failed write
 }
 
-// ask calls another node and decodes its answer.
+// ask calls another node and decodes its answer. Without a deadline of its own
+// the call is bounded by peerCallTime.
 func (ru *Runner) ask(
 	ctx context.Context, node netip.AddrPort, path string, query url.Values, answer any,
 ) error {
-	ctx, cancel := context.WithTimeout(ctx, peerCallTime)
-	defer cancel()
+	if _, bounded := ctx.Deadline(); !bounded {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, peerCallTime)
+		defer cancel()
+	}
 	address := url.URL{
 		Scheme: "http", Host: node.String(), Path: path, RawQuery: query.Encode(),
 	}
@@ -219,23 +225,24 @@
 		nodes[peersAsked-1] = nodes[peersAsked-1+rand.IntN(len(nodes)-peersAsked+1)]
 		nodes = nodes[:peersAsked]
 	}
-	var best replicator.Snapshot
-	err := errors.New("no other node is known")
-	found := false
+	type answer struct {
+		replicator.Snapshot
+		err error
+	}
+	answers := make(chan answer, len(nodes))
+	query := url.Values{"topic": {topic}, "from": {strconv.FormatUint(from, 10)}}
 	for _, node := range nodes {
-		var sn replicator.Snapshot
-		query := url.Values{"topic": {topic}, "from": {strconv.FormatUint(from, 10)}}
-		aerr := pe.runner.ask(ctx, node, sincePath, query, &sn)
-		if aerr != nil {
-			err = aerr
-			continue
-		}
-		if !found || sn.End > best.End {
-			best, found = sn, true
-		}
+		go func() {
+			var an answer
+			an.err = pe.runner.ask(ctx, node, sincePath, query, &an.Snapshot)
+			answers <- an
+		}()
 	}
-	if found {
-		return best, nil
+	best := answer{err: errors.New("no other node is known")}
+	for range nodes {
+		if an := <-answers; best.err != nil || an.err == nil && an.End > best.End {
+			best = an
+		}
 	}
-	return best, err
+	return best.Snapshot, best.err
 }
--- a/internal/meshrunner/promote.go
+++ b/internal/meshrunner/promote.go
@@ -20,7 +20,7 @@
 const (
 	// promotePeriod is how often the leading node of a rollout looks at its
 	// evidence.
-	promotePeriod = 400 * time.Millisecond
+	promotePeriod = 600 * time.Millisecond
 	// leaders is the number of nodes that may lead a rollout, one after another
 	// as those before do not answer.
 	leaders = 3
@@ -98,8 +98,11 @@
 			nodes = append(nodes, en.Node)
 		}
 	}
-	slices.SortFunc(nodes, netip.AddrPort.Compare)
-	for _, node := range elector.Owners("rollout/"+service, nodes, leaders) {
+	candidates := elector.Owners("rollout/"+service, nodes, leaders)
+	if !slices.Contains(candidates, se.Nodes) {
+		return false
+	}
+	for _, node := range candidates {
 		if node == se.Nodes {
 			return !ru.operator.Lost()
 		}
--- /dev/null
+++ b/internal/meshrunner/relay.go
@@ -0,0 +1,212 @@
+package meshrunner
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/guavastall/guavastall/internal/elector"
+	"github.com/guavastall/guavastall/internal/replicator"
+)
+
+// In each data centre one node reads the store and the others wait for news at
+// that node, so that the calls to the store do not grow with the fleet. A node
+// that gets no answer from the reader, or one that the store has not answered
+// lately, reads the store itself.
+
+const (
+	// readerWait is how long a reader's read of the operator's topic waits, and
+	// overdueTime how long ago its last answer may be. News must reach every node
+	// in two seconds even if the reader's connection to the store turns silent.
+	readerWait  = 700 * time.Millisecond
+	overdueTime = time.Second
+	// relayWait bounds the wait at the reader, relaySlack its answer beyond that.
+	relayWait  = 1200 * time.Millisecond
+	relaySlack = 300 * time.Millisecond
+	// relayRest is how long a node reads the store itself after its reader failed.
+	relayRest = 3 * time.Second
+)
+
+// reader returns the node of the own data centre that reads the store: one of
+// those with the most processing capacity.
+func (ru *Runner) reader() netip.AddrPort {
+	se := ru.settings.Load()
+	best, nodes := se.Capacity, []netip.AddrPort{se.Nodes}
+	if ru.leaving.Load() {
+		best, nodes = 0, nil
+	}
+	for _, en := range ru.entries() {
+		if en.DataCentre != se.DataCentre || en.NodeLeaving || !ru.carrier.Reachable(en.Node) {
+			continue
+		}
+		if en.Capacity > best {
+			best, nodes = en.Capacity, nil
+		}
+		if en.Capacity == best {
+			nodes = append(nodes, en.Node)
+		}
+	}
+	return elector.Owner("reader", nodes)
+}
+
+// relay is a topic that is read at the data centre's reader.
+type relay struct {
+	replicator.Source
+	runner *Runner
+	topic  string
+	// storeWait bounds the wait of reads of the store.
+	storeWait time.Duration
+
+	mu sync.Mutex
+	// rest is until when the store is read without asking the reader.
+	rest time.Time
+}
+
+// Read implements [replicator.Source].
+func (re *relay) Read(
+	ctx context.Context, from uint64, wait time.Duration,
+) (replicator.Snapshot, error) {
+	ru := re.runner
+	reader := ru.reader()
+	if wait == 0 || !reader.IsValid() || reader == ru.settings.Load().Nodes || re.resting() {
+		return re.Source.Read(ctx, from, min(wait, re.storeWait))
+	}
+	wait = min(wait, relayWait)
+	sn, err := re.ask(ctx, reader, from, wait)
+	if err == nil {
+		return sn, nil
+	}
+	if ctx.Err() != nil {
+		return sn, err
+	}
+	re.mu.Lock()
+	re.rest = ru.Now().Add(relayRest)
+	re.mu.Unlock()
+	ru.Log.WithError(err).WithField("topic", re.topic).WithField("node", reader.String()).
+		Info("reader does not answer; reading the store")
+	return re.Source.Read(ctx, from, 0)
+}
+
+func (re *relay) resting() bool {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	return re.runner.Now().Before(re.rest)
+}
+
+func (re *relay) ask(
+	ctx context.Context, reader netip.AddrPort, from uint64, wait time.Duration,
+) (replicator.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+relaySlack)
+	defer cancel()
+	var sn replicator.Snapshot
+	query := url.Values{
+		"topic": {re.topic}, "from": {strconv.FormatUint(from, 10)}, "wait": {wait.String()},
+	}
+	return sn, re.runner.ask(ctx, reader, relayPath, query, &sn)
+}
+
+// serveRelay serves the nodes of the own data centre while this one reads the
+// store: the records from an offset on, as soon as there are any.
+func (ru *Runner) serveRelay(w http.ResponseWriter, r *http.Request) {
+	fo := ru.follower(r.FormValue("topic"))
+	from, err := strconv.ParseUint(r.FormValue("from"), 10, 64)
+	wait, werr := time.ParseDuration(r.FormValue("wait"))
+	if err = errors.Join(err, werr); err != nil || fo == nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if ru.reader() != ru.settings.Load().Nodes {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	if !ru.await(r.Context(), fo, from, min(max(wait, 0), relayWait)) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	sn, primed := fo.Since(from)
+	if !primed || sn.End < from {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	ru.zips.write(ru, w, fo, from, sn)
+}
+
+// await waits for records from the offset on. It reports false as soon as the
+// store has not answered this node for longer than overdueTime.
+func (ru *Runner) await(
+	ctx context.Context, fo *replicator.Follower, from uint64, wait time.Duration,
+) bool {
+	end := ru.Now().Add(wait)
+	for {
+		news := fo.News()
+		now := ru.Now()
+		fresh := ru.operator.Contact().Add(overdueTime).Sub(now)
+		if fresh <= 0 {
+			return false
+		}
+		if known, _ := fo.End(); known > from || !now.Before(end) {
+			return true
+		}
+		timer := time.NewTimer(min(fresh, end.Sub(now)))
+		select {
+		case <-news:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		}
+		timer.Stop()
+	}
+}
+
+// zips keeps the last compressed answer, which all nodes of a data centre ask
+// for at the same time.
+type zips struct {
+	mu        sync.Mutex
+	follower  *replicator.Follower
+	from, end uint64
+	data      []byte
+}
+
+func (zi *zips) write(
+	ru *Runner, w http.ResponseWriter, fo *replicator.Follower, from uint64,
+	sn replicator.Snapshot,
+) {
+	if len(sn.Records) == 0 {
+		ru.writeJSON(w, sn)
+		return
+	}
+	zi.mu.Lock()
+	if zi.follower != fo || zi.from != from || zi.end != sn.End || zi.data == nil {
+		data, err := compress(sn)
+		if err != nil {
+			zi.mu.Unlock()
+			ru.Log.WithError(err).Error("compress an answer to a node")
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		zi.follower, zi.from, zi.end, zi.data = fo, from, sn.End, data
+	}
+	data := zi.data
+	zi.mu.Unlock()
+	w.Header().Set("Content-Encoding", "gzip")
+	_, _ = w.Write(data) // the node that asked sees a failed write
+}
+
+func compress(sn replicator.Snapshot) ([]byte, error) {
+	var data bytes.Buffer
+	zw, err := gzip.NewWriterLevel(&data, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	err = errors.Join(json.NewEncoder(zw).Encode(sn), zw.Close())
+	return data.Bytes(), err
+}
--- a/internal/meshrunner/settings.go
+++ b/internal/meshrunner/settings.go
@@ -25,6 +25,8 @@
 	Store netip.AddrPort
 	// Memory is the process's limit in bytes; zero for none.
 	Memory int64
+	// Capacity is the number of processors that the VM has, a part of one included.
+	Capacity float64
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
 	// Budget bounds repeated requests to a service over all nodes.
--- a/internal/meshrunner/view.go
+++ b/internal/meshrunner/view.go
@@ -138,7 +138,7 @@
 	se := ru.settings.Load()
 	entries := ru.entries()
 	own := registrar.NewEntry(se.Nodes, se.DataCentre, ru.gate.Current())
-	own.NodeLeaving = ru.leaving.Load()
+	own.NodeLeaving, own.Capacity = ru.leaving.Load(), se.Capacity
 	entries = append(entries, &own)
 
 	vi := &carrier.View{
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -155,7 +155,7 @@
 	found := false
 	for nn := range targets {
 		ta := &targets[nn]
-		if wasTried(re.Tried, ta.ID) || pl.resting(ta.Node, now) != unreachable {
+		if wasTried(re.Tried, ta.ID) || pl.Reachable(ta.Node) == unreachable {
 			continue
 		}
 		cost, ch := pl.cost(ta, &re, now)
@@ -342,10 +342,10 @@
 	return due
 }
 
-// resting reports whether a node is to be spared: until a probe reaches it.
-func (pl *Placer) resting(node netip.AddrPort, _ time.Time) bool {
-	_, ok := pl.nodes[node]
-	return ok
+// Reachable reports whether the node is not waiting for a probe.
+func (pl *Placer) Reachable(node netip.AddrPort) bool {
+	_, lost := pl.nodes[node]
+	return !lost
 }
 
 // Keep forgets all targets and nodes but the given ones.
--- /dev/null
+++ b/internal/placer/placer_test.go
@@ -0,0 +1,204 @@
+package placer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavastall/guavastall/internal/admitter"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func node(nn int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(nn)}), 80)
+}
+
+func target(nn int, dataCentre string) Target {
+	return Target{ID: fmt.Sprint("t", nn), Node: node(nn), DataCentre: dataCentre, Slots: 10}
+}
+
+func newPlacer() *Placer {
+	return New(rand.New(rand.NewPCG(1, 1)))
+}
+
+func request() Request {
+	return Request{
+		DataCentre: "a", Route: "r", Rank: admitter.First, Own: node(99),
+		Objective: 400 * time.Millisecond,
+	}
+}
+
+// report makes the placer know a target.
+func report(pl *Placer, ta Target, re Report, now time.Time) {
+	pl.Begin(ta.ID)
+	if re.Slots == 0 {
+		re.Slots = ta.Slots
+	}
+	pl.End(ta.ID, "r", &re, now)
+}
+
+func pick(t *testing.T, pl *Placer, targets []Target, re Request, now time.Time) string {
+	t.Helper()
+	ch, ok := pl.Pick(targets, re, now)
+	require.True(t, ok)
+	return ch.Target.ID
+}
+
+func TestStaysInDataCentreWhileObjectiveIsMet(t *testing.T) {
+	pl := newPlacer()
+	slow, fast := target(1, "a"), target(2, "b")
+	for range 50 {
+		report(pl, slow, Report{Work: 200 * time.Millisecond, Took: 200 * time.Millisecond}, epoch)
+		report(pl, fast, Report{Work: 50 * time.Millisecond, Took: 50 * time.Millisecond}, epoch)
+	}
+	targets := []Target{slow, fast}
+	assert.Equal(t, "t1", pick(t, pl, targets, request(), epoch), "slower, but in time")
+	report(pl, slow, Report{Running: 10, Ahead: [admitter.Ranks]int{0, 20, 20, 20},
+		Work: 200 * time.Millisecond}, epoch)
+	assert.Equal(t, "t2", pick(t, pl, targets, request(), epoch), "a long queue")
+}
+
+func TestWaitsDependOnRank(t *testing.T) {
+	pl := newPlacer()
+	one, two := target(1, "a"), target(2, "a")
+	report(pl, one, Report{Running: 10, Ahead: [admitter.Ranks]int{0, 0, 0, 40},
+		Work: 100 * time.Millisecond}, epoch)
+	report(pl, two, Report{Running: 10, Ahead: [admitter.Ranks]int{8, 8, 8, 8},
+		Work: 100 * time.Millisecond}, epoch)
+	re := request()
+	assert.Equal(t, "t1", pick(t, pl, []Target{one, two}, re, epoch))
+	re.Rank = admitter.Third
+	assert.Equal(t, "t2", pick(t, pl, []Target{one, two}, re, epoch))
+}
+
+func TestAvoidsRefusingTarget(t *testing.T) {
+	pl := newPlacer()
+	targets := []Target{target(1, "a"), target(2, "a")}
+	pl.Avoid("t1", admitter.Second, time.Second, epoch)
+	re := request()
+	re.Rank = admitter.Third
+	for range 20 {
+		assert.Equal(t, "t2", pick(t, pl, targets, re, epoch))
+	}
+	re.Rank = admitter.First
+	seen := map[string]bool{}
+	for range 50 {
+		seen[pick(t, pl, targets, re, epoch)] = true
+	}
+	assert.True(t, seen["t1"], "more urgent requests may still fit")
+}
+
+func TestUnreachableNodes(t *testing.T) {
+	pl := newPlacer()
+	targets := []Target{target(1, "a"), target(2, "b")}
+	pl.Unreachable(node(1), epoch)
+	assert.Equal(t, "t2", pick(t, pl, targets, request(), epoch))
+	assert.Empty(t, pl.Resting(epoch))
+	assert.Equal(t, []netip.AddrPort{node(1)}, pl.Resting(epoch.Add(firstRest)))
+	pl.Unreachable(node(2), epoch)
+	pick(t, pl, targets, request(), epoch) // rather an unreachable one than none
+	pl.Reached(node(1))
+	assert.Equal(t, "t1", pick(t, pl, targets, request(), epoch))
+}
+
+func TestTried(t *testing.T) {
+	pl := newPlacer()
+	re := request()
+	re.Tried = []string{"t1"}
+	_, ok := pl.Pick([]Target{target(1, "a")}, re, epoch)
+	assert.False(t, ok)
+}
+
+func TestFailingTargetGetsLess(t *testing.T) {
+	pl := newPlacer()
+	bad, good := target(1, "a"), target(2, "b")
+	report(pl, bad, Report{Work: 100 * time.Millisecond, Bad: 0.5}, epoch)
+	report(pl, good, Report{Work: 100 * time.Millisecond}, epoch)
+	assert.Equal(t, "t2", pick(t, pl, []Target{bad, good}, request(), epoch))
+	assert.Equal(t, "t1", pick(t, pl, []Target{bad, good}, request(), epoch.Add(lostTrust)),
+		"an old report does not keep it out")
+}
+
+// Eight targets of unequal speed under a load near their limit, seen through
+// reports alone: choosing by expected response keeps queues shorter than
+// choosing at random.
+func TestUnequalTargets(t *testing.T) {
+	speeds := []float64{0.5, 0.5, 1, 1, 1, 1, 1.5, 1.5}
+	chosen := longestQueue(t, speeds, true)
+	random := longestQueue(t, speeds, false)
+	assert.Less(t, chosen, random/2)
+}
+
+// longestQueue replays the load and returns the mean length of the longest
+// queue.
+func longestQueue(t *testing.T, speeds []float64, place bool) float64 {
+	t.Helper()
+	rd := rand.New(rand.NewPCG(7, 8))
+	const placers, slots, perMs = 4, 10, 0.7 // 800 a second fit
+	var pls []*Placer
+	for range placers {
+		pls = append(pls, New(rand.New(rand.NewPCG(rd.Uint64(), 1))))
+	}
+	var targets []Target
+	for nn := range speeds {
+		targets = append(targets, target(nn, "a"))
+	}
+	type run struct{ target, placer, begun, took int }
+	busy, waiting := make([]int, len(speeds)), make([][]run, len(speeds))
+	ends := map[int][]run{}
+	start := func(ru run, tick int) {
+		busy[ru.target]++
+		ru.took = int(100 / speeds[ru.target])
+		ends[tick+ru.took] = append(ends[tick+ru.took], ru)
+	}
+	sum := 0.0
+	const ticks = 10_000
+	for tick := range ticks {
+		now := epoch.Add(time.Duration(tick) * time.Millisecond)
+		for _, ru := range ends[tick] {
+			busy[ru.target]--
+			if queue := waiting[ru.target]; len(queue) > 0 {
+				waiting[ru.target] = queue[1:]
+				start(queue[0], tick)
+			}
+			ahead := len(waiting[ru.target])
+			pls[ru.placer].End(targets[ru.target].ID, "r", &Report{
+				Running: busy[ru.target], Slots: slots,
+				Ahead: [admitter.Ranks]int{0, ahead, ahead, ahead},
+				Work:  time.Duration(100/speeds[ru.target]) * time.Millisecond,
+				Took:  time.Duration(ru.took) * time.Millisecond,
+			}, now)
+		}
+		delete(ends, tick)
+		if rd.Float64() < perMs {
+			ru := run{target: rd.IntN(len(speeds)), placer: rd.IntN(placers), begun: tick}
+			if place {
+				ch, ok := pls[ru.placer].Pick(targets, request(), now)
+				require.True(t, ok)
+				for nn := range targets {
+					if targets[nn].ID == ch.Target.ID {
+						ru.target = nn
+					}
+				}
+			}
+			pls[ru.placer].Begin(targets[ru.target].ID)
+			if busy[ru.target] < slots {
+				start(ru, tick)
+			} else {
+				waiting[ru.target] = append(waiting[ru.target], ru)
+			}
+		}
+		longest := 0
+		for _, queue := range waiting {
+			longest = max(longest, len(queue))
+		}
+		sum += float64(longest)
+	}
+	return sum / ticks
+}
--- a/internal/registrar/directory.go
+++ b/internal/registrar/directory.go
@@ -17,6 +17,8 @@
 	Revision    int   `json:"revision"`
 	// DataCentre is where the node runs.
 	DataCentre string `json:"dataCentre"`
+	// Capacity is the number of processors of the VM.
+	Capacity float64 `json:"capacity,omitempty"`
 	// Target is empty while the node knows none.
 	Target   string `json:"target,omitempty"`
 	Service  string `json:"service,omitempty"`
--- /dev/null
+++ b/internal/registrar/registrar_test.go
@@ -0,0 +1,85 @@
+package registrar
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var born = time.UnixMilli(1_000_000)
+
+func heartbeat(id string, sequence uint64, start time.Time) Heartbeat {
+	return Heartbeat{
+		ID: id, Service: "desk", Version: "v1", Slots: 9, Sequence: sequence, Born: start,
+	}
+}
+
+func TestHeartbeats(t *testing.T) {
+	var ow Own
+	assert.Equal(t, Changed, ow.Heartbeat(heartbeat("a", 3, born)))
+	assert.Equal(t, Ready, ow.Current().State)
+	assert.Equal(t, Stale, ow.Heartbeat(heartbeat("a", 3, born)), "same sequence")
+	assert.Equal(t, Stale, ow.Heartbeat(heartbeat("a", 2, born)), "overtaken")
+	assert.Equal(t, Repeated, ow.Heartbeat(heartbeat("a", 4, born)))
+	assert.Equal(t, Stale, ow.Heartbeat(heartbeat("b", 9, born.Add(-time.Second))),
+		"a heartbeat of an earlier incarnation that was delayed")
+	assert.Equal(t, "a", ow.Current().ID)
+	assert.Equal(t, Changed, ow.Heartbeat(heartbeat("a", 1, born.Add(time.Second))),
+		"the ID is used again and the count starts anew")
+	assert.Equal(t, uint64(1), ow.Current().Sequence)
+}
+
+func TestDrainingStays(t *testing.T) {
+	var ow Own
+	ow.Heartbeat(heartbeat("a", 1, born))
+	he := heartbeat("a", 2, born)
+	he.Draining = true
+	assert.Equal(t, Changed, ow.Heartbeat(he))
+	assert.Equal(t, Leaving, ow.Current().State)
+	ow.Heartbeat(heartbeat("a", 3, born))
+	assert.Equal(t, Leaving, ow.Current().State, "an incarnation that leaves does not come back")
+}
+
+func TestLeave(t *testing.T) {
+	var ow Own
+	assert.False(t, ow.Leave("a"), "nothing is known")
+	ow.Heartbeat(heartbeat("a", 1, born))
+	assert.False(t, ow.Leave("b"), "another one")
+	assert.True(t, ow.Leave("a"))
+	assert.Equal(t, Leaving, ow.Current().State)
+	assert.Equal(t, Stale, ow.Heartbeat(heartbeat("a", 2, born)), "a heartbeat that was delayed")
+	assert.Equal(t, Changed, ow.Heartbeat(heartbeat("a", 1, born.Add(time.Second))))
+	assert.Equal(t, Ready, ow.Current().State)
+}
+
+func TestEntryRoundTrip(t *testing.T) {
+	node := netip.MustParseAddrPort("10.0.0.1:80")
+	in := Instance{Heartbeat: heartbeat("a", 5, born), State: Leaving}
+	in.Draining = true
+	en := NewEntry(node, "north", in)
+	en.Incarnation, en.Revision = 3, 2
+	data, err := en.Encode()
+	require.NoError(t, err)
+	got, err := DecodeEntry(data)
+	require.NoError(t, err)
+	assert.Equal(t, &en, got)
+	assert.False(t, got.Usable())
+	back := got.Instance()
+	assert.Equal(t, Leaving, back.State)
+	assert.True(t, back.Born.Equal(born))
+}
+
+func FuzzDecodeEntry(f *testing.F) {
+	f.Add([]byte(`{"node":"10.0.0.1:80","target":"a","service":"s","slots":1}`))
+	f.Add([]byte(`{"node":"10.0.0.1:80"}`))
+	f.Add([]byte(`{`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		en, err := DecodeEntry(data)
+		if err == nil && en.Usable() && (en.Slots < 1 || en.Service == "" || !en.Node.IsValid()) {
+			t.Fatalf("usable entry without slots, service or node: %+v", en)
+		}
+	})
+}
--- a/internal/replicator/follower.go
+++ b/internal/replicator/follower.go
@@ -30,10 +30,19 @@
 }
 
 const (
-	// retryTime is the first pause after a failed call; it doubles up to
-	// maxRetryTime, within which an entry is expected back after an outage.
-	retryTime    = 100 * time.Millisecond
-	maxRetryTime = time.Second
+	// retryTime is the mean pause between calls to a store that does not answer;
+	// news and entries are expected within two seconds of its return.
+	retryTime = 250 * time.Millisecond
+	// answerTime is how long the store may take beyond the wait that a read asks
+	// for. A store that is slowed 80 times takes 320 ms.
+	answerTime = 800 * time.Millisecond
+	// lostTime bounds a call to a store that did not answer the last one, and
+	// slowLostTime every slowEvery-th call, in case it is only slow.
+	lostTime     = 700 * time.Millisecond
+	slowLostTime = 2500 * time.Millisecond
+	slowEvery    = 4
+	// peersPeriod is the least time between two calls to other nodes.
+	peersPeriod = 700 * time.Millisecond
 )
 
 // Config holds the settings of a [Follower].
@@ -48,7 +57,9 @@
 	Pause time.Duration
 	// Changed is called with the keys that changed.
 	Changed func(keys []string)
-	Log     *logrus.Logger
+	// Lost, if set, is called when the store stops answering.
+	Lost func()
+	Log  *logrus.Logger
 	// Now returns the current time.
 	Now func() time.Time
 }
@@ -60,33 +71,89 @@
 	source Source
 	peers  Peers
 	lost   atomic.Bool
+	// contact is when the source last answered, in Unix nanoseconds.
+	contact atomic.Int64
+	kick    chan struct{}
+	// asked is when other nodes were last asked; only Run's goroutines use it.
+	asked time.Time
 }
 
 // New returns a follower of the source.
 func New(cf Config, so Source, pe Peers) *Follower {
-	return &Follower{Replica: NewReplica(), config: cf, source: so, peers: pe}
+	return &Follower{
+		Replica: NewReplica(), config: cf, source: so, peers: pe, kick: make(chan struct{}),
+	}
 }
 
 // Run follows the topic until the context ends, and closes done.
 func (fo *Follower) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
-	pause := retryTime
 	for ctx.Err() == nil {
 		began := fo.config.Now()
-		err := fo.step(ctx)
+		err := fo.wait(ctx)
+		for failures := 1; err != nil && ctx.Err() == nil; failures++ {
+			fo.note(err)
+			sleep(ctx, retryTime/2+rand.N(retryTime))
+			err = fo.retry(ctx, failures)
+		}
 		if ctx.Err() != nil {
 			return
 		}
-		fo.note(err)
-		if err == nil {
-			pause = retryTime
-			sleep(ctx, fo.config.Pause-fo.config.Now().Sub(began))
-			continue
+		fo.note(nil)
+		sleep(ctx, fo.config.Pause-fo.config.Now().Sub(began))
+	}
+}
+
+// wait reads the next records, which a kick cuts short.
+func (fo *Follower) wait(ctx context.Context) error {
+	wctx, cancel := context.WithTimeout(ctx, fo.config.Wait+answerTime)
+	defer cancel()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-fo.kick:
+			cancel()
+		case <-stop:
 		}
+	}()
+	err := fo.step(wctx, fo.config.Wait)
+	if err != nil && errors.Is(wctx.Err(), context.Canceled) && ctx.Err() == nil {
+		return fo.within(ctx, lostTime)
+	}
+	return err
+}
+
+// within makes a call to the store that does not wait for a record.
+func (fo *Follower) within(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return fo.step(ctx, 0)
+}
+
+// Kick makes a waiting read start again on a fresh connection, because the one
+// in use may be silent.
+func (fo *Follower) Kick() {
+	select {
+	case fo.kick <- struct{}{}:
+	default:
+	}
+}
+
+// retry asks the store again, without a wait, and other nodes at the same time.
+func (fo *Follower) retry(ctx context.Context, failures int) error {
+	asked := make(chan struct{})
+	go func() {
+		defer close(asked)
 		fo.askPeers(ctx)
-		sleep(ctx, pause/2+rand.N(pause))
-		pause = min(2*pause, maxRetryTime)
+	}()
+	limit := lostTime
+	if failures%slowEvery == 0 {
+		limit = slowLostTime
 	}
+	err := fo.within(ctx, limit)
+	<-asked
+	return err
 }
 
 // Lost reports whether the store does not answer.
@@ -100,6 +167,8 @@
 	if !primed {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
 	sn, err := fo.source.Read(ctx, end, 0)
 	if err == nil {
 		fo.changed(fo.Append(sn.Records, sn.End), "store")
@@ -108,11 +177,12 @@
 }
 
 // step makes one call to the store.
-func (fo *Follower) step(ctx context.Context) error {
+func (fo *Follower) step(ctx context.Context, wait time.Duration) error {
 	end, primed := fo.End()
 	if primed {
-		sn, err := fo.source.Read(ctx, end, fo.config.Wait)
+		sn, err := fo.source.Read(ctx, end, wait)
 		if err == nil {
+			fo.contact.Store(fo.config.Now().UnixNano())
 			fo.changed(fo.Append(sn.Records, sn.End), "store")
 			return nil
 		}
@@ -124,11 +194,22 @@
 	if err != nil {
 		return err
 	}
+	fo.contact.Store(fo.config.Now().UnixNano())
 	fo.changed(fo.Reset(sn), "store")
 	return nil
 }
 
+// Contact returns when the source last answered.
+func (fo *Follower) Contact() time.Time {
+	return time.Unix(0, fo.contact.Load())
+}
+
 func (fo *Follower) askPeers(ctx context.Context) {
+	now := fo.config.Now()
+	if now.Sub(fo.asked) < peersPeriod {
+		return
+	}
+	fo.asked = now
 	end, primed := fo.End()
 	from := end
 	if !primed {
@@ -162,6 +243,9 @@
 	switch {
 	case err != nil && !fo.lost.Swap(true):
 		entry.WithError(err).Warn("store lost")
+		if fo.config.Lost != nil {
+			fo.config.Lost()
+		}
 	case err == nil && fo.lost.Swap(false):
 		entry.Info("store regained")
 	}
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -29,11 +29,13 @@
 	records map[string]Record
 	end     uint64
 	primed  bool
+	// news is closed when the end moves.
+	news chan struct{}
 }
 
 // NewReplica returns an empty replica.
 func NewReplica() *Replica {
-	return &Replica{records: map[string]Record{}}
+	return &Replica{records: map[string]Record{}, news: make(chan struct{})}
 }
 
 // End returns the offset up to which records are known, and whether the replica
@@ -69,7 +71,7 @@
 	re.mu.Lock()
 	defer re.mu.Unlock()
 	changed := re.merge(records)
-	re.end = max(re.end, end)
+	re.advance(end)
 	return changed
 }
 
@@ -93,10 +95,28 @@
 			changed = append(changed, key)
 		}
 	}
-	re.end, re.primed = max(re.end, sn.End), true
+	re.advance(sn.End)
+	re.primed = true
 	return changed
 }
 
+// advance moves the end forward and tells those who wait for it.
+func (re *Replica) advance(end uint64) {
+	if end <= re.end {
+		return
+	}
+	re.end = end
+	close(re.news)
+	re.news = make(chan struct{})
+}
+
+// News returns a channel that is closed when the end moves.
+func (re *Replica) News() <-chan struct{} {
+	re.mu.RLock()
+	defer re.mu.RUnlock()
+	return re.news
+}
+
 func (re *Replica) merge(records []Record) []string {
 	var changed []string
 	for _, rc := range records {
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -7,7 +7,10 @@
 // that fails under load is noticed before it has all of it.
 package stager
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Order asks for a rollout.
 type Order struct {
@@ -61,6 +64,9 @@
 	// baseFactor how much worse than the base version it may be besides.
 	badMargin  = 0.08
 	baseFactor = 2.0
+	// sigmas is how many standard deviations above the bound the bad responses
+	// must be, because every look at the evidence is a test.
+	sigmas = 3.0
 	// minBase is the number of the base version's responses from which its share
 	// of bad ones counts.
 	minBase = 10
@@ -180,7 +186,9 @@
 	if base.Requests >= minBase {
 		bound += baseFactor * float64(base.Bad) / float64(base.Requests)
 	}
-	return float64(fresh.Bad) > bound*float64(fresh.Requests)
+	bound = min(bound, 1)
+	number := float64(fresh.Requests)
+	return float64(fresh.Bad) > bound*number+sigmas*math.Sqrt(bound*(1-bound)*number)
 }
 
 func sum(tallies map[string]Tally) Tally {
--- /dev/null
+++ b/internal/stager/stager_test.go
@@ -0,0 +1,216 @@
+package stager
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func order() Order {
+	return Order{Service: "desk", Version: "v2", Duration: 15 * time.Second, Number: 7}
+}
+
+func move() Move {
+	return Move{Order: 7, Service: "desk", Version: "v2", Base: "v1", State: Active}
+}
+
+// version is a new version under a simulated rollout.
+type version struct {
+	name string
+	// bad reports whether a response is bad.
+	bad func(rd *rand.Rand, elapsed time.Duration, share float64, route string) bool
+}
+
+// rollout plays a rollout of the version and returns its end and the share of
+// all requests that the version got.
+func rollout(seed uint64, ve version, baseBad float64) (Move, float64, time.Duration) {
+	rd := rand.New(rand.NewPCG(seed, 1))
+	fresh, base := NewCollector(), NewCollector()
+	mo, or := move(), order()
+	const perSecond, tick = 300, 100 * time.Millisecond
+	total, exposed := 0, 0
+	for elapsed := time.Duration(0); elapsed <= or.Duration; elapsed += tick {
+		now := epoch.Add(elapsed)
+		for range int(perSecond * tick.Seconds()) {
+			route := []string{"scan", "confirm"}[rd.IntN(2)]
+			total++
+			if rd.Float64() < mo.Share() {
+				exposed++
+				fresh.Add(Response{
+					Route: route, Failed: ve.bad(rd, elapsed, mo.Share(), route),
+				}, now)
+				continue
+			}
+			base.Add(Response{Route: route, Failed: rd.Float64() < baseBad}, now)
+		}
+		if elapsed%(400*time.Millisecond) != 0 {
+			continue
+		}
+		var changed bool
+		mo, changed = Decide(mo, or, elapsed, evidence(fresh, now), evidence(base, now), false)
+		if changed && mo.State != Active {
+			return mo, float64(exposed) / float64(perSecond*int(or.Duration.Seconds())), elapsed
+		}
+	}
+	return mo, float64(exposed) / float64(total), or.Duration
+}
+
+func evidence(co *Collector, now time.Time) Evidence {
+	ev := Evidence{Targets: 3}
+	ev.Total, ev.Recent = co.Tallies(now)
+	return ev
+}
+
+func share(bad float64) func(*rand.Rand, time.Duration, float64, string) bool {
+	return func(rd *rand.Rand, _ time.Duration, _ float64, _ string) bool {
+		return rd.Float64() < bad
+	}
+}
+
+func TestGoodVersionsComplete(t *testing.T) {
+	for seed := range uint64(200) {
+		mo, _, took := rollout(seed, version{bad: share(0.005)}, 0.005)
+		assert.Equal(t, Complete, mo.State, "seed %d: %s", seed, mo.Reason)
+		assert.LessOrEqual(t, took, 14*time.Second)
+	}
+}
+
+// While the service that both versions call is in trouble, both fail alike.
+func TestCommonTroubleIsNotBlamed(t *testing.T) {
+	for seed := range uint64(100) {
+		mo, _, _ := rollout(seed, version{bad: share(0.3)}, 0.3)
+		assert.Equal(t, Complete, mo.State, "seed %d: %s", seed, mo.Reason)
+	}
+}
+
+func TestBadVersionsAreRolledBack(t *testing.T) {
+	for _, ve := range []version{
+		{"at once", share(0.4)},
+		{"late", func(rd *rand.Rand, el time.Duration, _ float64, _ string) bool {
+			return el > 3*time.Second && rd.Float64() < 0.4
+		}},
+		{"under load", func(rd *rand.Rand, _ time.Duration, sh float64, _ string) bool {
+			return sh > 0.2 && rd.Float64() < 0.4
+		}},
+		{"on one route", func(rd *rand.Rand, _ time.Duration, _ float64, route string) bool {
+			return route == "scan" && rd.Float64() < 0.4
+		}},
+	} {
+		for seed := range uint64(100) {
+			mo, exposed, _ := rollout(seed, ve, 0.005)
+			assert.Equal(t, RolledBack, mo.State, "%s, seed %d", ve.name, seed)
+			assert.Less(t, exposed, 0.1, "%s, seed %d", ve.name, seed)
+		}
+	}
+}
+
+func TestNoEvidenceRollsBack(t *testing.T) {
+	mo, or := move(), order()
+	_, changed := Decide(mo, or, 9*time.Second, Evidence{}, Evidence{}, false)
+	assert.False(t, changed)
+	mo, changed = Decide(mo, or, 12*time.Second, Evidence{}, Evidence{}, false)
+	assert.True(t, changed)
+	assert.Equal(t, RolledBack, mo.State)
+}
+
+// A rollout is complete only when no request is left at the base version.
+func TestCompleteWaitsForBase(t *testing.T) {
+	mo, or := move(), order()
+	mo.Step = len(steps) - 1
+	_, changed := Decide(mo, or, 10*time.Second, Evidence{}, Evidence{Running: 1}, false)
+	assert.False(t, changed)
+	_, changed = Decide(mo, or, 10*time.Second, Evidence{}, Evidence{}, true)
+	assert.False(t, changed, "a node has not answered")
+	done, changed := Decide(mo, or, 10*time.Second, Evidence{}, Evidence{}, false)
+	assert.True(t, changed)
+	assert.Equal(t, Complete, done.State)
+	done, changed = Decide(mo, or, 14*time.Second, Evidence{}, Evidence{Running: 1}, true)
+	assert.True(t, changed, "the duration is nearly over")
+	assert.Equal(t, Complete, done.State)
+}
+
+func TestSlowResponsesAreBad(t *testing.T) {
+	for name, tc := range map[string]struct {
+		re  Response
+		bad int
+	}{
+		"quick":        {Response{Took: 100, Objective: 100}, 0},
+		"slow":         {Response{Took: 150, Objective: 100}, 1},
+		"cold":         {Response{Took: 900, Objective: 100, Cold: true}, 0},
+		"no objective": {Response{Took: 900}, 0},
+	} {
+		co := NewCollector()
+		co.Add(tc.re, epoch)
+		total, _ := co.Tallies(epoch)
+		assert.Equal(t, tc.bad, sum(total).Bad, name)
+	}
+}
+
+func TestRecentForgets(t *testing.T) {
+	co := NewCollector()
+	co.Add(Response{Route: "r", Failed: true}, epoch)
+	_, recent := co.Tallies(epoch.Add(2 * time.Second))
+	assert.Equal(t, 1, recent["r"].Bad)
+	total, recent := co.Tallies(epoch.Add(4 * time.Second))
+	assert.Empty(t, recent)
+	assert.Equal(t, 1, total["r"].Bad)
+}
+
+func TestGuard(t *testing.T) {
+	co := NewCollector()
+	for range guardBad {
+		assert.False(t, co.Guarded())
+		co.Add(Response{Failed: true}, epoch)
+	}
+	assert.True(t, co.Guarded())
+}
+
+func TestSelect(t *testing.T) {
+	or := order()
+	mo := move()
+	counts := map[string]int{"v1": 3, "v2": 1}
+	full := mo
+	full.Step = len(steps) - 1
+	complete, back := mo, mo
+	complete.State, back.State = Complete, RolledBack
+	older := complete
+	older.Order, older.Version = 3, "v1"
+	for name, tc := range map[string]struct {
+		or     *Order
+		mo     *Move
+		counts map[string]int
+		allows map[string]bool
+	}{
+		"no order":           {nil, nil, counts, map[string]bool{"v1": true, "v2": false}},
+		"order alone":        {&or, nil, counts, map[string]bool{"v1": true, "v2": false}},
+		"under way":          {&or, &mo, counts, map[string]bool{"v1": true, "v2": true, "v3": false}},
+		"all traffic moved":  {&or, &full, counts, map[string]bool{"v1": false, "v2": true}},
+		"complete":           {&or, &complete, counts, map[string]bool{"v1": false, "v2": true}},
+		"complete, no order": {nil, &complete, counts, map[string]bool{"v1": false, "v2": true}},
+		"rolled back":        {&or, &back, counts, map[string]bool{"v1": true, "v2": false}},
+		"rolled back, more of it": {
+			&or, &back, map[string]int{"v1": 1, "v2": 4}, map[string]bool{"v1": true, "v2": false},
+		},
+		"order after another": {&or, &older, counts, map[string]bool{"v1": true, "v2": false}},
+	} {
+		ve := Select(tc.or, tc.mo, tc.counts)
+		for version, want := range tc.allows {
+			assert.Equal(t, want, ve.Allows(version), "%s: %s", name, version)
+		}
+	}
+}
+
+func ExampleDecide() {
+	mo := Move{Order: 7, Service: "desk", Version: "v2", Base: "v1", State: Active}
+	or := Order{Service: "desk", Version: "v2", Duration: 15 * time.Second, Number: 7}
+	fresh := Evidence{Targets: 3, Total: map[string]Tally{"scan": {Requests: 40, Bad: 15}}}
+	base := Evidence{Targets: 6, Total: map[string]Tally{"scan": {Requests: 900, Bad: 2}}}
+	mo, _ = Decide(mo, or, time.Second, fresh, base, false)
+	fmt.Println(mo.State, mo.Share(), mo.Reason)
+	// Output: rolledBack 0 all responses
+}
--- /dev/null
+++ b/internal/stripper/stripper_test.go
@@ -0,0 +1,18 @@
+package stripper
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestOf(t *testing.T) {
+	hop := Of(http.Header{"Connection": {"close, X-One", "x-two"}})
+	for name, want := range map[string]bool{
+		"Connection": true, "Keep-Alive": true, "Transfer-Encoding": true, "X-One": true,
+		"X-Two": true, "Close": false, "X-Three": false, "Content-Type": false,
+	} {
+		assert.Equal(t, want, hop.Has(name), name)
+	}
+}
