--- a/internal/carrier/conn.go
+++ b/internal/carrier/conn.go
@@ -235,13 +235,11 @@
 
 // receive reads one response.
 func (li *link) receive(ex *exchange) (*response, bool, error) {
-	hr, err := http.ReadResponse(li.reader, &http.Request{Method: ex.method})
-	for err == nil && hr.StatusCode < http.StatusOK {
-		hr, err = http.ReadResponse(li.reader, &http.Request{Method: ex.method})
-	}
+	hr, err := li.readHead(ex.method)
 	if err != nil {
 		return nil, false, fmt.Errorf("read the response: %w", err)
 	}
+	defer func() { _ = hr.Body.Close() }() // the connection decides on its reuse
 	body, err := readBody(hr)
 	if err != nil {
 		return nil, false, fmt.Errorf("read the response's body: %w", err)
@@ -254,6 +252,17 @@
 	return &response{status: hr.StatusCode, header: hr.Header, body: body}, reusable, nil
 }
 
+// readHead reads the head of the final response; informational ones are skipped.
+func (li *link) readHead(method string) (*http.Response, error) {
+	for {
+		hr, err := http.ReadResponse(li.reader, &http.Request{Method: method})
+		if err != nil || hr.StatusCode >= http.StatusOK {
+			return hr, err
+		}
+		_ = hr.Body.Close()
+	}
+}
+
 func readBody(hr *http.Response) ([]byte, error) {
 	if hr.ContentLength == 0 {
 		return nil, nil
--- a/internal/carrier/gate.go
+++ b/internal/carrier/gate.go
@@ -36,8 +36,6 @@
 	turn chan *result
 }
 
-type ticket = admitter.Ticket[*waiter]
-
 // Gate admits requests to the target next to the node. It holds the facts that
 // bind this target: its incarnation, whether it leaves, whether it is cold, and
 // whether its data centre or version may get requests. It is safe for
@@ -276,7 +274,8 @@
 // forQueue returns what the queue needs to know of the request.
 func (rq *request) forQueue(work time.Duration) admitter.Request {
 	re := admitter.Request{
-		Rank: rq.rank(), Returning: rq.returning, Deadline: rq.deadline, Objective: rq.objective, Work: work,
+		Rank: rq.rank(), Returning: rq.returning, Work: work,
+		Deadline: rq.deadline, Objective: rq.objective,
 	}
 	if rq.route != nil {
 		re.Usual = rq.route.Objective
--- a/internal/carrier/last.go
+++ b/internal/carrier/last.go
@@ -44,7 +44,8 @@
 	}
 	rq.caller = r.Header.Get(ca.config.Names.Caller)
 	if vi == nil {
-		ca.answerNode(w, rq.id, refusal(answerer.NotReady, "no configuration yet", unverifiedRetry))
+		rs := refusal(answerer.NotReady, "no configuration yet", unverifiedRetry)
+		ca.answerNode(w, rq.id, rs)
 		return
 	}
 	rq.route = vi.Config.Match(hostName(rq.host), rq.path())
@@ -145,7 +146,8 @@
 			detail:     "the target refused with status " + strconv.Itoa(re.status),
 			retryAfter: unverifiedRetry,
 		}
-	case re.status < 300 && re.header.Get(na.Stamp) == "" || len(re.header["Content-Encoding"]) > 0:
+	case re.status < 300 && re.header.Get(na.Stamp) == "",
+		len(re.header["Content-Encoding"]) > 0:
 		return &result{
 			outcome: retrier.Unknown, kind: answerer.OutcomeUnknown, reached: true,
 			detail: "the response lacks the target's signature",
@@ -185,7 +187,8 @@
 		if rs.failed() {
 			ca.event(true, "target failed", rq, func() map[string]any {
 				return map[string]any{
-					"status": rs.response.status, "target": rq.target, "tookMs": took.Milliseconds(),
+					"status": rs.response.status, "target": rq.target,
+					"tookMs": took.Milliseconds(),
 				}
 			})
 		}
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -97,7 +97,8 @@
 		}
 		for _, other := range index[ro.Host] {
 			if other.Prefix == ro.Prefix {
-				return fmt.Errorf("route %q: same host and prefix as route %q", ro.Name, other.Name)
+				return fmt.Errorf("routes %q and %q have the same host and prefix",
+					ro.Name, other.Name)
 			}
 		}
 		index[ro.Host] = append(index[ro.Host], ro)
--- a/internal/meshrunner/leave.go
+++ b/internal/meshrunner/leave.go
@@ -32,7 +32,9 @@
 		return
 	}
 	if old := ru.settings.Swap(se); !reflect.DeepEqual(old, se) || why == "signal" {
-		ru.Log.WithFields(logrus.Fields{"why": why, "service": se.Service}).Info("settings reloaded")
+		ru.Log.WithFields(logrus.Fields{
+			"why": why, "service": se.Service,
+		}).Info("settings reloaded")
 	}
 }
 
--- a/internal/meshrunner/member.go
+++ b/internal/meshrunner/member.go
@@ -56,7 +56,6 @@
 // publication is what the node last published of itself.
 type publication struct {
 	incarnation int64
-	revision    int
 	value       []byte
 	entry       registrar.Entry
 }
--- a/internal/meshrunner/meshrunner.go
+++ b/internal/meshrunner/meshrunner.go
@@ -103,9 +103,8 @@
 	moves     map[string]seenMove
 	published publication
 
-	dirty     chan struct{}
-	leaving   atomic.Bool
-	storeLost atomic.Bool
+	dirty   chan struct{}
+	leaving atomic.Bool
 }
 
 // New returns a node with checked settings.
--- a/internal/meshrunner/settings.go
+++ b/internal/meshrunner/settings.go
@@ -54,7 +54,8 @@
 		errs = append(errs, errors.New("the grace period or the memory limit is negative"))
 	}
 	if bu := &se.Budget; bu.Ratio < 0 || bu.Allowance < 0 || bu.Window <= 0 {
-		errs = append(errs, fmt.Errorf("retry budget: ratio %v, allowance %v, window %s out of range",
+		errs = append(errs, fmt.Errorf(
+			"retry budget: ratio %v, allowance %v, window %s out of range",
 			bu.Ratio, bu.Allowance, bu.Window))
 	}
 	return errors.Join(errs...)
--- a/internal/meshrunner/view.go
+++ b/internal/meshrunner/view.go
@@ -1,7 +1,6 @@
 package meshrunner
 
 import (
-	"net/netip"
 	"strings"
 	"time"
 
@@ -201,12 +200,3 @@
 	}
 	ru.gate.Permit(rules)
 }
-
-// nodes returns the addresses of the other nodes.
-func (ru *Runner) nodes() []netip.AddrPort {
-	var all []netip.AddrPort
-	for _, en := range ru.entries() {
-		all = append(all, en.Node)
-	}
-	return all
-}
