Estimate waits from the work ahead and the slots that urgent ranks leave

Cause: a queue's wait was the number of requests ahead times the average work. Where short urgent calls shape the average, 60 to 80 long requests waited at a target for a start that never came; they were held and then refused. Now the work ahead counts, divided by the slots that more urgent ranks leave, and nodes report that wait by rank. Ruled out: reserving slots for urgent requests; the order by rank already gives them the next slot.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -20,8 +21,6 @@
 	defaultWork = 100 * time.Millisecond
 	// minRetryAfter keeps refused callers from returning in the same instant.
 	minRetryAfter = 50 * time.Millisecond
-	// rateWindow is the sliding window of the cold rate, which is a rate per second.
-	rateWindow = time.Second
 	// latePart is the part of its objective that a request waits at most which
 	// cannot meet the objective any more.
 	latePart = 0.25
@@ -73,7 +72,6 @@
 	Value T
 
 	number uint64
-	queued bool
 	// patience is until when the request waits even if it is late.
 	patience time.Time
 }
@@ -100,9 +98,13 @@
 type Queue[T any] struct {
 	slots   int
 	running int
+	// runningWork is the expected work of the running requests together.
+	runningWork time.Duration
+	// waiting is in the order of compare at the last look.
 	waiting []*Ticket[T]
 	numbers uint64
 	work    time.Duration
+	usage   usage
 
 	coldUntil time.Time
 	coldRate  float64
@@ -120,39 +122,6 @@
 	qu.slots = slots
 }
 
-// SetCold limits admissions to the cold rate until the time. What was said
-// before is not shortened: a target does not warm up sooner than it said.
-func (qu *Queue[T]) SetCold(until time.Time) {
-	if until.After(qu.coldUntil) {
-		qu.coldUntil = until
-	}
-}
-
-// Warm forgets that the target was cold, because another one took its place.
-func (qu *Queue[T]) Warm() {
-	qu.coldUntil = time.Time{}
-}
-
-// SetColdRate sets the number of requests per second that a cold target bears;
-// zero sets no limit.
-func (qu *Queue[T]) SetColdRate(rate float64) {
-	qu.coldRate = rate
-}
-
-// Hold counts the cold rate as used up, because the admissions of an earlier
-// process are not known.
-func (qu *Queue[T]) Hold(now time.Time) {
-	qu.starts = qu.starts[:0]
-	for range max(int(qu.coldRate), 1) {
-		qu.starts = append(qu.starts, now)
-	}
-}
-
-// Cold reports whether the target is cold.
-func (qu *Queue[T]) Cold(now time.Time) bool {
-	return now.Before(qu.coldUntil)
-}
-
 // Running returns the number of requests at the target.
 func (qu *Queue[T]) Running() int { return qu.running }
 
@@ -174,35 +143,39 @@
 // longer fit.
 func (qu *Queue[T]) Offer(re Request, value T, now time.Time) (*Ticket[T], Verdict, Change[T]) {
 	qu.numbers++
+	if re.Work <= 0 {
+		re.Work = qu.Work()
+	}
 	ti := &Ticket[T]{Request: re, Value: value, number: qu.numbers}
 	ti.patience = now.Add(time.Duration(latePart * float64(re.Usual)))
 	if len(qu.waiting) == 0 && qu.free(now) {
-		qu.start(now)
+		qu.start(ti, now)
 		return ti, Admitted, Change[T]{}
 	}
-	ahead := 0
+	var ahead backlog
 	for _, other := range qu.waiting {
-		if qu.compare(other, ti, now) < 0 {
-			ahead++
+		if compare(other, ti, now) < 0 {
+			ahead.add(other.Work)
 		}
 	}
-	if now.Add(qu.waitFor(ahead, now)).After(qu.latestStart(ti)) {
+	if now.Add(qu.waitBehind(ahead, re.Rank, now)).After(ti.latestStart()) {
 		return ti, Refused, Change[T]{}
 	}
-	ti.queued = true
 	qu.waiting = append(qu.waiting, ti)
 	return ti, Waiting, Change[T]{Refused: qu.evict(now)}
 }
 
 // Done ends an admitted request. The time at the target counts as a sample of
 // its work time if it is above zero.
-func (qu *Queue[T]) Done(worked time.Duration, now time.Time) Change[T] {
+func (qu *Queue[T]) Done(ti *Ticket[T], worked time.Duration, now time.Time) Change[T] {
 	qu.running--
+	qu.runningWork -= ti.Work
 	if worked > 0 {
 		if qu.work == 0 {
 			qu.work = worked
 		}
 		qu.work += time.Duration(workWeight * float64(worked-qu.work))
+		qu.usage.add(ti.Rank, worked, now)
 	}
 	return qu.Advance(now)
 }
@@ -211,14 +184,18 @@
 // no longer suffices.
 func (qu *Queue[T]) Advance(now time.Time) Change[T] {
 	var ch Change[T]
+	if len(qu.waiting) == 0 {
+		return ch
+	}
+	qu.sort(now)
 	for len(qu.waiting) > 0 && qu.free(now) {
-		best := qu.best(now)
-		ti := qu.remove(best)
-		if now.After(qu.lastUsefulStart(ti)) {
+		ti := qu.waiting[0]
+		qu.waiting = qu.waiting[1:]
+		if now.After(ti.lastUsefulStart()) {
 			ch.Refused = append(ch.Refused, ti)
 			continue
 		}
-		qu.start(now)
+		qu.start(ti, now)
 		ch.Admitted = append(ch.Admitted, ti)
 	}
 	ch.Refused = append(ch.Refused, qu.evict(now)...)
@@ -227,189 +204,69 @@
 
 // Leave takes a waiting request out and reports whether it was waiting.
 func (qu *Queue[T]) Leave(ti *Ticket[T]) bool {
-	for nn, other := range qu.waiting {
-		if other == ti {
-			qu.remove(nn)
-			return true
-		}
+	nn := slices.Index(qu.waiting, ti)
+	if nn < 0 {
+		return false
 	}
-	return false
+	qu.waiting = slices.Delete(qu.waiting, nn, nn+1)
+	return true
 }
 
 // Clear takes all waiting requests out.
 func (qu *Queue[T]) Clear() []*Ticket[T] {
 	all := qu.waiting
 	qu.waiting = nil
-	for _, ti := range all {
-		ti.queued = false
-	}
 	return all
 }
 
-// RetryAfter is when room for another request of the rank is expected.
-func (qu *Queue[T]) RetryAfter(re Request, now time.Time) time.Duration {
-	ahead := 0
-	for _, other := range qu.waiting {
-		if other.Rank <= re.Rank {
-			ahead++
-		}
-	}
-	return max(qu.waitFor(ahead, now), minRetryAfter)
-}
-
-// NextStart returns when the cold rate allows the next admission, and whether
-// a waiting request depends on it.
-func (qu *Queue[T]) NextStart(now time.Time) (time.Time, bool) {
-	if len(qu.waiting) == 0 || qu.running >= qu.slots {
-		return time.Time{}, false
-	}
-	return now.Add(qu.coldWait(0, now)), true
-}
-
-// Ahead returns the number of waiting requests of each rank and the ranks
-// before it.
-func (qu *Queue[T]) Ahead() [Ranks]int {
-	var ahead [Ranks]int
-	for _, ti := range qu.waiting {
-		for ra := ti.Rank; ra < Ranks; ra++ {
-			ahead[ra]++
-		}
-	}
-	return ahead
-}
-
-// ColdDelay is how long the cold rate holds a new request back.
-func (qu *Queue[T]) ColdDelay(now time.Time) time.Duration {
-	return qu.coldWait(len(qu.waiting), now)
-}
-
-func (qu *Queue[T]) start(now time.Time) {
+func (qu *Queue[T]) start(ti *Ticket[T], now time.Time) {
 	qu.running++
+	qu.runningWork += ti.Work
 	qu.starts = append(qu.trimmed(now), now)
 }
 
-// trimmed returns the admissions that still count.
-func (qu *Queue[T]) trimmed(now time.Time) []time.Time {
-	nn := 0
-	for nn < len(qu.starts) && now.Sub(qu.starts[nn]) >= rateWindow {
-		nn++
-	}
-	return append(qu.starts[:0], qu.starts[nn:]...)
-}
-
 // free reports whether a request may start now.
 func (qu *Queue[T]) free(now time.Time) bool {
 	return qu.running < qu.slots && qu.coldWait(0, now) == 0
 }
 
-// coldWait is how long the cold rate holds back a request behind others.
-func (qu *Queue[T]) coldWait(ahead int, now time.Time) time.Duration {
-	if !now.Before(qu.coldUntil) || qu.coldRate <= 0 {
-		return 0
-	}
-	burst := max(int(qu.coldRate), 1)
-	recent := qu.trimmed(now)
-	qu.starts = recent
-	over := len(recent) + ahead - burst
-	if over < 0 {
-		return 0
-	}
-	if over < len(recent) {
-		return recent[over].Add(rateWindow).Sub(now)
-	}
-	return time.Duration(float64(over+1) / qu.coldRate * float64(time.Second))
-}
-
-// waitFor is the expected wait behind a number of waiting requests.
-func (qu *Queue[T]) waitFor(ahead int, now time.Time) time.Duration {
-	wait := time.Duration(0)
-	if qu.running >= qu.slots || ahead > 0 {
-		wait = qu.Work() * time.Duration(ahead+1) / time.Duration(max(qu.slots, 1))
-	}
-	return max(wait, qu.coldWait(ahead, now))
-}
-
-// latestStart is the latest expected start at which a request is let wait: one
-// that meets the objective, or soon for a request that cannot meet it. Longer
-// waits would make all requests late while the overload lasts.
-func (qu *Queue[T]) latestStart(ti *Ticket[T]) time.Time {
-	bound := ti.Objective.Add(-ti.Work)
-	if bound.Before(ti.patience) {
-		bound = ti.patience
-	}
-	if last := qu.lastUsefulStart(ti); last.Before(bound) {
-		return last
-	}
-	return bound
-}
-
-// lastUsefulStart is the latest start from which the response meets the deadline.
-func (qu *Queue[T]) lastUsefulStart(ti *Ticket[T]) time.Time {
-	return ti.Deadline.Add(-ti.Work)
-}
-
-// latestWait is the latest expected start at which a waiting request stays. One
-// that others have pushed back past its objective stays on if room is near.
-func (qu *Queue[T]) latestWait(ti *Ticket[T]) time.Time {
-	bound := ti.Objective.Add(time.Duration(latePart * float64(ti.Usual)))
-	if bound.Before(ti.patience) {
-		bound = ti.patience
-	}
-	if last := qu.lastUsefulStart(ti); last.Before(bound) {
-		return last
-	}
-	return bound
-}
-
 // evict removes the waiting requests that are not expected to start in time.
 func (qu *Queue[T]) evict(now time.Time) []*Ticket[T] {
+	qu.sort(now)
 	var out []*Ticket[T]
-	for nn := 0; nn < len(qu.waiting); nn++ {
-		ti := qu.waiting[nn]
-		ahead := 0
-		for _, other := range qu.waiting {
-			if other != ti && qu.compare(other, ti, now) < 0 {
-				ahead++
-			}
-		}
-		if now.Add(qu.waitFor(ahead, now)).After(qu.latestWait(ti)) {
-			out = append(out, qu.remove(nn))
-			nn--
+	var ahead backlog
+	kept := qu.waiting[:0]
+	for _, ti := range qu.waiting {
+		if now.Add(qu.waitBehind(ahead, ti.Rank, now)).After(ti.latestWait()) {
+			out = append(out, ti)
+			continue
 		}
+		ahead.add(ti.Work)
+		kept = append(kept, ti)
 	}
+	clear(qu.waiting[len(kept):])
+	qu.waiting = kept
 	return out
 }
 
-func (qu *Queue[T]) best(now time.Time) int {
-	best := 0
-	for nn := range qu.waiting {
-		if qu.compare(qu.waiting[nn], qu.waiting[best], now) < 0 {
-			best = nn
-		}
-	}
-	return best
-}
-
-func (qu *Queue[T]) remove(nn int) *Ticket[T] {
-	ti := qu.waiting[nn]
-	qu.waiting = append(qu.waiting[:nn], qu.waiting[nn+1:]...)
-	ti.queued = false
-	return ti
+func (qu *Queue[T]) sort(now time.Time) {
+	slices.SortFunc(qu.waiting, func(a, b *Ticket[T]) int { return compare(a, b, now) })
 }
 
 // compare orders waiting requests: by rank; those that can still meet their
 // objective before those that cannot; returning ones before new ones; then by
 // arrival.
-func (qu *Queue[T]) compare(a, b *Ticket[T], now time.Time) int {
+func compare[T any](a, b *Ticket[T], now time.Time) int {
 	return cmp.Or(
 		cmp.Compare(a.Rank, b.Rank),
-		compareBool(late(a, now), late(b, now)),
+		compareBool(a.late(now), b.late(now)),
 		compareBool(b.Returning, a.Returning),
 		cmp.Compare(a.number, b.number),
 	)
 }
 
-func late[T any](ti *Ticket[T], now time.Time) bool {
+// late reports whether the request cannot meet its objective any more.
+func (ti *Ticket[T]) late(now time.Time) bool {
 	return now.Add(ti.Work).After(ti.Objective)
 }
 
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -18,50 +18,49 @@
 	}
 }
 
-// fill returns a queue whose slots are all in use.
-func fill(slots int) *Queue[int] {
-	qu := New[int](slots)
-	for range slots {
-		_, verdict, _ := qu.Offer(request(First, epoch), 0, epoch)
-		if verdict != Admitted {
-			panic("a free slot was refused")
-		}
+// fill returns a queue whose only slot is in use, and the request that holds it.
+func fill() (*Queue[int], *Ticket[int]) {
+	qu := New[int](1)
+	ti, verdict, _ := qu.Offer(request(First, epoch), 0, epoch)
+	if verdict != Admitted {
+		panic("a free slot was refused")
 	}
-	return qu
+	return qu, ti
 }
 
 func TestUrgentFirst(t *testing.T) {
-	qu := fill(1)
+	qu, running := fill()
 	var order []int
 	for value, rank := range []Rank{Third, Second, First, Inner} {
 		_, verdict, _ := qu.Offer(request(rank, epoch), value, epoch)
 		assert.Equal(t, Waiting, verdict)
 	}
 	for range 4 {
-		for _, ti := range qu.Done(0, epoch).Admitted {
+		for _, ti := range qu.Done(running, 0, epoch).Admitted {
 			order = append(order, ti.Value)
+			running = ti
 		}
 	}
 	assert.Equal(t, []int{3, 2, 1, 0}, order)
 }
 
 func TestReturningFirst(t *testing.T) {
-	qu := fill(1)
+	qu, running := fill()
 	qu.Offer(request(First, epoch), 1, epoch)
 	re := request(First, epoch)
 	re.Returning = true
 	qu.Offer(re, 2, epoch)
-	ch := qu.Done(0, epoch)
+	ch := qu.Done(running, 0, epoch)
 	assert.Equal(t, 2, ch.Admitted[0].Value)
 }
 
 func TestRefusesWhatWouldBeLate(t *testing.T) {
-	qu := fill(1)
+	qu, _ := fill()
 	waiting := 0
 	for {
 		ti, verdict, _ := qu.Offer(request(First, epoch), 0, epoch)
 		if verdict == Refused {
-			assert.GreaterOrEqual(t, qu.RetryAfter(ti.Request, epoch), 300*time.Millisecond)
+			assert.GreaterOrEqual(t, qu.RetryAfter(ti.Rank, epoch), 300*time.Millisecond)
 			break
 		}
 		waiting++
@@ -70,7 +69,7 @@
 }
 
 func TestUrgentPushesOutLessUrgent(t *testing.T) {
-	qu := fill(1)
+	qu, _ := fill()
 	for value := range 3 {
 		qu.Offer(request(Third, epoch), value, epoch)
 	}
@@ -89,7 +88,7 @@
 }
 
 func TestSlowTargetRefusesInTime(t *testing.T) {
-	qu := fill(1)
+	qu, _ := fill()
 	qu.Offer(request(First, epoch), 7, epoch)
 	assert.Empty(t, qu.Advance(at(300)).Refused)
 	refused := qu.Advance(at(600)).Refused
@@ -104,15 +103,16 @@
 	admitted := make([]int, 40)
 	for tick := range 40 { // 4 s, 200 requests a second
 		now := at(100 * tick)
-		running := len(qu.Advance(now).Admitted)
+		running := qu.Advance(now).Admitted
 		for range 20 {
-			if _, verdict, _ := qu.Offer(request(First, now), 0, now); verdict == Admitted {
-				running++
+			ti, verdict, _ := qu.Offer(request(First, now), 0, now)
+			if verdict == Admitted {
+				running = append(running, ti)
 			}
 		}
-		for ; running > 0; running-- {
+		for ; len(running) > 0; running = running[1:] {
 			admitted[tick]++
-			running += len(qu.Done(0, now).Admitted)
+			running = append(running, qu.Done(running[0], 0, now).Admitted...)
 		}
 	}
 	for from := 0; from+10 <= 30; from++ {
@@ -148,7 +148,7 @@
 }
 
 func TestLeaveAndClear(t *testing.T) {
-	qu := fill(1)
+	qu, _ := fill()
 	one, _, _ := qu.Offer(request(First, epoch), 1, epoch)
 	qu.Offer(request(First, epoch), 2, epoch)
 	assert.True(t, qu.Leave(one))
--- a/internal/admitter/load_test.go
+++ b/internal/admitter/load_test.go
@@ -32,19 +32,22 @@
 
 // policy is a way to queue.
 type policy interface {
-	offer(jo job, now time.Time) (verdict Verdict, moved Change[job])
-	done(now time.Time) Change[job]
+	offer(jo job, now time.Time) (ti *Ticket[job], verdict Verdict, moved Change[job])
+	done(ti *Ticket[job], took time.Duration, now time.Time) Change[job]
 }
 
 type queuePolicy struct{ *Queue[job] }
 
-func (qp queuePolicy) offer(jo job, now time.Time) (Verdict, Change[job]) {
-	_, verdict, ch := qp.Offer(jo.re, jo, now)
-	return verdict, ch
+func (qp queuePolicy) offer(
+	jo job, now time.Time,
+) (*Ticket[job], Verdict, Change[job]) {
+	return qp.Offer(jo.re, jo, now)
 }
 
-func (qp queuePolicy) done(now time.Time) Change[job] {
-	return qp.Done(100*time.Millisecond, now)
+func (qp queuePolicy) done(
+	ti *Ticket[job], took time.Duration, now time.Time,
+) Change[job] {
+	return qp.Done(ti, took, now)
 }
 
 // fifo is the naive policy: first come, first served, until the deadline.
@@ -53,16 +56,16 @@
 	waiting        []job
 }
 
-func (fi *fifo) offer(jo job, _ time.Time) (Verdict, Change[job]) {
+func (fi *fifo) offer(jo job, _ time.Time) (*Ticket[job], Verdict, Change[job]) {
 	if fi.running < fi.slots {
 		fi.running++
-		return Admitted, Change[job]{}
+		return &Ticket[job]{Value: jo}, Admitted, Change[job]{}
 	}
 	fi.waiting = append(fi.waiting, jo)
-	return Waiting, Change[job]{}
+	return nil, Waiting, Change[job]{}
 }
 
-func (fi *fifo) done(now time.Time) Change[job] {
+func (fi *fifo) done(_ *Ticket[job], _ time.Duration, now time.Time) Change[job] {
 	fi.running--
 	var ch Change[job]
 	for len(fi.waiting) > 0 && fi.running < fi.slots {
@@ -81,15 +84,19 @@
 
 func (rp replay) run(po policy) outcome {
 	var out outcome
-	ends := map[int][]job{}
-	start := func(jo job, tick int) {
+	type end struct {
+		*Ticket[job]
+		took time.Duration
+	}
+	ends := map[int][]end{}
+	start := func(ti *Ticket[job], tick int) {
 		took := time.Duration(float64(rp.work) * (0.5 + rp.random.Float64()))
-		end := tick + int(took.Milliseconds())
-		ends[end] = append(ends[end], jo)
+		at := tick + int(took.Milliseconds())
+		ends[at] = append(ends[at], end{ti, took})
 	}
 	apply := func(ch Change[job], tick int) {
 		for _, ti := range ch.Admitted {
-			start(ti.Value, tick)
+			start(ti, tick)
 		}
 		for _, ti := range ch.Refused {
 			out.refused[ti.Value.re.Rank]++
@@ -98,7 +105,8 @@
 	}
 	for tick := range int(rp.duration.Milliseconds()) {
 		now := at(tick)
-		for _, jo := range ends[tick] {
+		for _, en := range ends[tick] {
+			jo := en.Value
 			switch {
 			case !now.After(jo.re.Objective):
 				out.inTime[jo.re.Rank]++
@@ -107,7 +115,7 @@
 			default:
 				out.expired[jo.re.Rank]++
 			}
-			apply(po.done(now), tick)
+			apply(po.done(en.Ticket, en.took, now), tick)
 		}
 		delete(ends, tick)
 		for ra, rate := range rp.perSecond {
@@ -116,10 +124,10 @@
 			}
 			jo := job{request(Rank(ra), now), now}
 			out.offered[ra]++
-			verdict, ch := po.offer(jo, now)
+			ti, verdict, ch := po.offer(jo, now)
 			switch verdict {
 			case Admitted:
-				start(jo, tick)
+				start(ti, tick)
 			case Refused:
 				out.refused[ra]++
 			case Waiting:
--- a/internal/carrier/gate.go
+++ b/internal/carrier/gate.go
@@ -232,32 +232,41 @@
 	return ga.collector.Tallies(ga.now())
 }
 
-// enter takes a slot for the request, after a wait if need be. It returns the
-// incarnation that the request is for, or a refusal.
-func (ga *Gate) enter(ctx context.Context, rq *request, work time.Duration) (string, *result) {
+// pass is the permission to send a request to the target.
+type pass struct {
+	ticket *admitter.Ticket[*waiter]
+	// target is the incarnation that it holds for.
+	target string
+}
+
+// enter takes a slot for the request, after a wait if need be. It returns a
+// pass, which exit gives back, or a refusal.
+func (ga *Gate) enter(
+	ctx context.Context, rq *request, work time.Duration,
+) (*pass, *result) {
 	now := ga.now()
 	ga.mu.Lock()
 	if rs := ga.closed(rq.target); rs != nil {
 		ga.mu.Unlock()
-		return "", rs
+		return nil, rs
 	}
-	id := ga.own.Current().ID
 	wa := &waiter{turn: make(chan *result, 1)}
 	ti, verdict, change := ga.queue.Offer(rq.forQueue(work), wa, now)
+	pa := &pass{ticket: ti, target: ga.own.Current().ID}
 	ga.move(change)
 	if verdict == admitter.Refused {
-		wait := ga.queue.RetryAfter(ti.Request, now)
+		wait := ga.queue.RetryAfter(ti.Rank, now)
 		ga.mu.Unlock()
-		return "", refusal(answerer.Overloaded, "the wait would be too long", wait)
+		return nil, refusal(answerer.Overloaded, "the wait would be too long", wait)
 	}
 	ga.arm(now)
 	ga.mu.Unlock()
 	if verdict == admitter.Admitted {
-		return id, nil
+		return pa, nil
 	}
 	select {
 	case rs := <-wa.turn:
-		return id, rs
+		return pa, rs
 	case <-ctx.Done():
 	}
 	ga.mu.Lock()
@@ -265,10 +274,10 @@
 	ga.mu.Unlock()
 	if !left {
 		if rs := <-wa.turn; rs == nil {
-			ga.exit(0)
+			ga.exit(pa, 0)
 		}
 	}
-	return "", refusal(answerer.Cancelled, "the client left", 0)
+	return nil, refusal(answerer.Cancelled, "the client left", 0)
 }
 
 // forQueue returns what the queue needs to know of the request.
@@ -338,11 +347,11 @@
 }
 
 // exit gives the slot back.
-func (ga *Gate) exit(worked time.Duration) {
+func (ga *Gate) exit(pa *pass, worked time.Duration) {
 	now := ga.now()
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.move(ga.queue.Done(worked, now))
+	ga.move(ga.queue.Done(pa.ticket, worked, now))
 	ga.arm(now)
 }
 
@@ -367,8 +376,8 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	return &placer.Report{
-		Running: ga.queue.Running(), Ahead: ga.queue.Ahead(), Slots: ga.queue.Slots(),
-		Work: ga.queue.Work(), Delay: ga.queue.ColdDelay(now), Bad: ga.bad,
+		Running: ga.queue.Running(), Slots: ga.queue.Slots(), Work: ga.queue.Work(),
+		Waits: ga.queue.Waits(now), Bad: ga.bad,
 	}
 }
 
@@ -378,7 +387,7 @@
 		ti.Value.turn <- nil
 	}
 	for _, ti := range ch.Refused {
-		wait := ga.queue.RetryAfter(ti.Request, ga.now())
+		wait := ga.queue.RetryAfter(ti.Rank, ga.now())
 		ti.Value.turn <- refusal(answerer.Overloaded, "more urgent requests came", wait)
 	}
 }
--- a/internal/carrier/last.go
+++ b/internal/carrier/last.go
@@ -57,7 +57,7 @@
 func (ca *Carrier) runLocal(ctx context.Context, rq *request) *result {
 	work := ca.expectedWork(rq)
 	began := ca.config.Now()
-	id, rs := ca.gate.enter(ctx, rq, work)
+	pa, rs := ca.gate.enter(ctx, rq, work)
 	if rs != nil {
 		rs.report = ca.gate.load()
 		ca.metrics.refusedHere.Inc(1)
@@ -65,14 +65,15 @@
 			return map[string]any{
 				"kind": rs.kind.String(), "detail": rs.detail, "target": rq.target,
 				"waitedMs": ca.config.Now().Sub(began).Milliseconds(),
-				"running":  rs.report.Running, "ahead": rs.report.Ahead, "rank": rq.rank(),
+				"running":  rs.report.Running, "rank": rq.rank(),
+				"expectedMs": rs.report.Waits[rq.rank()].Milliseconds(),
 				"workMs": work.Milliseconds(), "retryMs": rs.retryAfter.Milliseconds(),
 			}
 		})
 		return rs
 	}
 	started := ca.config.Now()
-	rs = ca.runTarget(ctx, rq, id)
+	rs = ca.runTarget(ctx, rq, pa)
 	rs.report = ca.gate.load()
 	if rs.outcome == retrier.Answered {
 		rs.report.Took = ca.config.Now().Sub(started)
@@ -81,16 +82,16 @@
 }
 
 // runTarget sends an admitted request to the target and gives its slot back.
-func (ca *Carrier) runTarget(ctx context.Context, rq *request, id string) *result {
-	if rs := ca.gate.recheck(id); rs != nil {
-		ca.gate.exit(0)
+func (ca *Carrier) runTarget(ctx context.Context, rq *request, pa *pass) *result {
+	if rs := ca.gate.recheck(pa.target); rs != nil {
+		ca.gate.exit(pa, 0)
 		return rs
 	}
 	na := &ca.config.Names
 	began := ca.config.Now()
 	left := rq.deadline.Sub(began)
 	if left <= 0 {
-		ca.gate.exit(0)
+		ca.gate.exit(pa, 0)
 		return refusal(answerer.DeadlineExceeded, "no time left at the target", 0)
 	}
 	ca.gate.mark(rq.id, 1)
@@ -99,7 +100,7 @@
 		id: rq.id, idName: na.RequestID, method: rq.method, uri: rq.uri, host: rq.host,
 		header: rq.header, body: rq.body, until: rq.deadline.Add(answerSlack),
 		extra: [][2]string{
-			{na.Timeout, milliseconds(left)}, {na.Expected, id}, {na.Caller, rq.caller},
+			{na.Timeout, milliseconds(left)}, {na.Expected, pa.target}, {na.Caller, rq.caller},
 		},
 	}, ca.config.Now)
 	took := ca.config.Now().Sub(began)
@@ -108,7 +109,7 @@
 	if rs.outcome != retrier.Answered {
 		worked = 0
 	}
-	ca.gate.exit(worked)
+	ca.gate.exit(pa, worked)
 	ca.learn(rq, rs, took, began)
 	return rs
 }
@@ -247,15 +248,15 @@
 }
 
 // loadFields is the number of values in a load header.
-const loadFields = 6 + int(admitter.Ranks)
+const loadFields = 5 + int(admitter.Ranks)
 
 func encodeLoad(re *placer.Report) string {
 	values := [loadFields]int64{
 		int64(re.Running), int64(re.Slots), re.Work.Milliseconds(),
-		re.Delay.Milliseconds(), int64(100 * re.Bad), re.Took.Milliseconds(),
+		int64(100 * re.Bad), re.Took.Milliseconds(),
 	}
-	for ra, ahead := range re.Ahead {
-		values[6+ra] = int64(ahead)
+	for ra, wait := range re.Waits {
+		values[5+ra] = wait.Milliseconds()
 	}
 	text := make([]byte, 0, 48)
 	for nn, value := range values {
@@ -284,11 +285,12 @@
 	}
 	re := &placer.Report{
 		Running: values[0], Slots: values[1],
-		Work:  time.Duration(values[2]) * time.Millisecond,
-		Delay: time.Duration(values[3]) * time.Millisecond,
-		Bad:   float64(values[4]) / 100,
-		Took:  time.Duration(values[5]) * time.Millisecond,
+		Work: time.Duration(values[2]) * time.Millisecond,
+		Bad:  float64(values[3]) / 100,
+		Took: time.Duration(values[4]) * time.Millisecond,
+	}
+	for ra := range re.Waits {
+		re.Waits[ra] = time.Duration(values[5+ra]) * time.Millisecond
 	}
-	copy(re.Ahead[:], values[6:])
 	return re
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -64,12 +64,10 @@
 // Report is the load of a target as its node knows it.
 type Report struct {
 	Running, Slots int
-	// Ahead is the number of waiting requests of each rank and those before it.
-	Ahead [admitter.Ranks]int
 	// Work is the average time of a request at the target.
 	Work time.Duration
-	// Delay is how long the target's cold rate holds a new request back.
-	Delay time.Duration
+	// Waits are the expected waits of new requests by rank.
+	Waits [admitter.Ranks]time.Duration
 	// Bad is the recent share of failed requests.
 	Bad float64
 	// Took is the time that the request with this report spent at the target;
@@ -239,20 +237,18 @@
 		slots = 1
 	}
 	busy := float64(lo.outstanding)
-	work := defaultWork
-	delay := time.Duration(0)
+	work, wait := defaultWork, time.Duration(0)
 	if lo.reported {
 		trust := lo.trust(now)
-		known := float64(lo.report.Running + lo.report.Ahead[rank] + lo.sinceReport)
-		busy = max(busy, trust*known)
+		busy = max(busy, trust*float64(lo.report.Running+lo.sinceReport))
 		work = lo.report.Work
-		delay = time.Duration(trust*float64(lo.report.Delay)) - now.Sub(lo.reportedAt)
+		wait = time.Duration(trust*float64(lo.report.Waits[rank])) - now.Sub(lo.reportedAt)
 	}
-	wait := time.Duration(0)
-	if over := busy - float64(slots) + 1; over > 0 {
-		wait = time.Duration(over * float64(work) / float64(slots))
+	wait = max(wait, 0)
+	if over := busy - float64(slots); over > 0 {
+		wait += time.Duration(over * float64(work) / float64(slots))
 	}
-	return max(wait, delay), min(busy/float64(slots), 1)
+	return wait, min(busy/float64(slots), 1)
 }
 
 func (lo *load) bad(now time.Time) float64 {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -34,6 +34,15 @@
 	}
 }
 
+// waits returns waits in milliseconds.
+func waits(ms ...int) [admitter.Ranks]time.Duration {
+	var all [admitter.Ranks]time.Duration
+	for ra := range all {
+		all[ra] = time.Duration(ms[ra]) * time.Millisecond
+	}
+	return all
+}
+
 // report makes the placer know a target.
 func report(pl *Placer, ta Target, re Report, now time.Time) {
 	pl.Begin(ta.ID)
@@ -59,7 +68,7 @@
 	}
 	targets := []Target{slow, fast}
 	assert.Equal(t, "t1", pick(t, pl, targets, request(), epoch), "slower, but in time")
-	report(pl, slow, Report{Running: 10, Ahead: [admitter.Ranks]int{0, 20, 20, 20},
+	report(pl, slow, Report{Running: 10, Waits: waits(0, 400, 400, 400),
 		Work: 200 * time.Millisecond}, epoch)
 	assert.Equal(t, "t2", pick(t, pl, targets, request(), epoch), "a long queue")
 }
@@ -67,9 +76,9 @@
 func TestWaitsDependOnRank(t *testing.T) {
 	pl := newPlacer()
 	one, two := target(1, "a"), target(2, "a")
-	report(pl, one, Report{Running: 10, Ahead: [admitter.Ranks]int{0, 0, 0, 40},
+	report(pl, one, Report{Running: 10, Waits: waits(0, 0, 0, 400),
 		Work: 100 * time.Millisecond}, epoch)
-	report(pl, two, Report{Running: 10, Ahead: [admitter.Ranks]int{8, 8, 8, 8},
+	report(pl, two, Report{Running: 10, Waits: waits(80, 80, 80, 80),
 		Work: 100 * time.Millisecond}, epoch)
 	re := request()
 	assert.Equal(t, "t1", pick(t, pl, []Target{one, two}, re, epoch))
@@ -167,10 +176,10 @@
 				waiting[ru.target] = queue[1:]
 				start(queue[0], tick)
 			}
-			ahead := len(waiting[ru.target])
+			ahead := len(waiting[ru.target]) * int(100/speeds[ru.target]) / slots
 			pls[ru.placer].End(targets[ru.target].ID, "r", &Report{
 				Running: busy[ru.target], Slots: slots,
-				Ahead: [admitter.Ranks]int{0, ahead, ahead, ahead},
+				Waits: waits(0, ahead, ahead, ahead),
 				Work:  time.Duration(100/speeds[ru.target]) * time.Millisecond,
 				Took:  time.Duration(ru.took) * time.Millisecond,
 			}, now)
