--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -47,7 +47,7 @@
 	// firstRest and longestRest bound the time that an unreachable node gets
 	// nothing; it doubles with each failure.
 	firstRest   = 250 * time.Millisecond
-	longestRest = 2 * time.Second
+	longestRest = time.Second
 	// defaultWork stands for the work time of a target that has not reported.
 	defaultWork = 100 * time.Millisecond
 )
@@ -136,24 +136,15 @@
 }
 
 // Pick returns the target at which the response is expected first, and whether
-// there is one. Unreachable nodes are chosen only if no other is left.
+// there is one. Nodes that cannot be reached are left out until a probe reaches
+// them: a request that waits for a connection to one is lost.
 func (pl *Placer) Pick(targets []Target, re Request, now time.Time) (Choice, bool) {
-	best, found := pl.pick(targets, re, now, false)
-	if !found {
-		best, found = pl.pick(targets, re, now, true)
-	}
-	return best, found
-}
-
-func (pl *Placer) pick(
-	targets []Target, re Request, now time.Time, unreachable bool,
-) (Choice, bool) {
 	var best Choice
 	var least time.Duration
 	found := false
 	for nn := range targets {
 		ta := &targets[nn]
-		if wasTried(re.Tried, ta.ID) || pl.Reachable(ta.Node) == unreachable {
+		if wasTried(re.Tried, ta.ID) || !pl.Reachable(ta.Node) {
 			continue
 		}
 		cost, ch := pl.cost(ta, &re, now)
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -111,7 +111,8 @@
 	assert.Empty(t, pl.Resting(epoch))
 	assert.Equal(t, []netip.AddrPort{node(1)}, pl.Resting(epoch.Add(firstRest)))
 	pl.Unreachable(node(2), epoch)
-	pick(t, pl, targets, request(), epoch) // rather an unreachable one than none
+	_, ok := pl.Pick(targets, request(), epoch)
+	assert.False(t, ok, "a request would wait for a connection in vain")
 	pl.Reached(node(1))
 	assert.Equal(t, "t1", pick(t, pl, targets, request(), epoch))
 }
