--- a/internal/replicator/follower.go
+++ b/internal/replicator/follower.go
@@ -30,9 +30,11 @@
 }
 
 const (
-	// retryTime is the mean pause between calls to a store that does not answer;
-	// news and entries are expected within two seconds of its return.
-	retryTime = 250 * time.Millisecond
+	// retryTime is the first mean pause between calls to a store that does not
+	// answer. It grows by half up to maxRetryTime: news and entries are expected
+	// within two seconds of the store's return, and refused calls cost too.
+	retryTime    = 200 * time.Millisecond
+	maxRetryTime = 900 * time.Millisecond
 	// answerTime is how long the store may take beyond the wait that a read asks
 	// for. A store that is slowed 80 times takes 320 ms.
 	answerTime = 800 * time.Millisecond
@@ -91,9 +93,11 @@
 	for ctx.Err() == nil {
 		began := fo.config.Now()
 		err := fo.wait(ctx)
+		pause := retryTime
 		for failures := 1; err != nil && ctx.Err() == nil; failures++ {
 			fo.note(err)
-			sleep(ctx, retryTime/2+rand.N(retryTime))
+			sleep(ctx, pause/2+rand.N(pause))
+			pause = min(pause*3/2, maxRetryTime)
 			err = fo.retry(ctx, failures)
 		}
 		if ctx.Err() != nil {
