Load canaries fully, remember departures of unknown targets, compress relays

Canaries are now as few as bear their final load, the last step lasts, and the base version's own trouble widens the bound by what was seen instead of doubling it. Answers of nodes are compressed and the bound is 1.2 s. Departures of unknown targets are remembered, and published before their acknowledgement.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -60,6 +60,8 @@
 	Targets map[string][]Target
 	// Versions are the versions in use by service.
 	Versions map[string]stager.Versions
+	// Canaries are the targets that get a new version's requests, by service.
+	Canaries map[string]map[string]bool
 	// Out are the data centres that operators have taken out.
 	Out map[string]bool
 	// Nodes is the number of nodes that share budgets.
--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -242,6 +242,7 @@
 func (jo *journey) candidates() []placer.Target {
 	ve := jo.view.Versions[jo.part.Service]
 	all := jo.view.Targets[jo.part.Service]
+	canaries := jo.view.Canaries[jo.part.Service]
 	chosen := make([]placer.Target, 0, len(all))
 	var other []placer.Target
 	for nn := range all {
@@ -249,6 +250,9 @@
 		if jo.view.Out[ta.DataCentre] || !ve.Allows(ta.Version) {
 			continue
 		}
+		if ve.Next != "" && ta.Version == ve.Next && !canaries[ta.ID] {
+			continue
+		}
 		if ve.Next != "" && (ta.Version == ve.Next) != jo.next {
 			other = append(other, ta.Target)
 			continue
--- a/internal/carrier/gate.go
+++ b/internal/carrier/gate.go
@@ -122,7 +122,7 @@
 func (ga *Gate) Depart(id string) bool {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	if !ga.own.Leave(id) {
+	if !ga.own.Leave(id, ga.now()) {
 		return false
 	}
 	ga.refuseWaiting(answerer.Draining, "the target leaves")
--- a/internal/carrier/last.go
+++ b/internal/carrier/last.go
@@ -67,7 +67,7 @@
 				"waitedMs": ca.config.Now().Sub(began).Milliseconds(),
 				"running":  rs.report.Running, "rank": rq.rank(),
 				"expectedMs": rs.report.Waits[rq.rank()].Milliseconds(),
-				"workMs": work.Milliseconds(), "retryMs": rs.retryAfter.Milliseconds(),
+				"workMs":     work.Milliseconds(), "retryMs": rs.retryAfter.Milliseconds(),
 			}
 		})
 		return rs
--- a/internal/meshrunner/member.go
+++ b/internal/meshrunner/member.go
@@ -47,8 +47,16 @@
 func (ru *Runner) Depart(id string) {
 	current := ru.gate.Depart(id)
 	ru.Log.WithFields(logrus.Fields{"target": id, "current": current}).Info("target leaves")
-	if current {
-		ru.refresh()
+	if !current {
+		return
+	}
+	ru.refresh()
+	// The acknowledgement binds this node after a restart too, so that the entry
+	// is in the store before it, if the store answers.
+	ctx, cancel := context.WithTimeout(context.Background(), departTime)
+	defer cancel()
+	if again, err := ru.publishEntry(ctx); err != nil || again {
+		ru.Log.WithError(err).WithField("target", id).Warn("departure not published")
 		ru.republish()
 	}
 }
@@ -63,6 +71,9 @@
 const (
 	// publishTime bounds the publication of the own entry.
 	publishTime = 2 * time.Second
+	// departTime bounds the publication of a departure before its
+	// acknowledgement, which must come within a second.
+	departTime = 400 * time.Millisecond
 	// publishRetry is the pause after a failed publication; entries are back
 	// within about two seconds of the store's return.
 	publishRetry = 500 * time.Millisecond
@@ -99,8 +110,11 @@
 }
 
 // publishEntry publishes the own entry if the store holds another. It reports
-// whether it has to be tried again.
+// whether it has to be tried again. The lock on publishing is taken before that
+// on the view.
 func (ru *Runner) publishEntry(ctx context.Context) (bool, error) {
+	ru.publishing.Lock()
+	defer ru.publishing.Unlock()
 	if _, primed := ru.mesh.End(); !primed {
 		return true, nil // the own earlier entry is not known yet
 	}
--- a/internal/meshrunner/meshrunner.go
+++ b/internal/meshrunner/meshrunner.go
@@ -103,6 +103,9 @@
 	moves     map[string]seenMove
 	published publication
 
+	// publishing is held while the own entry is published.
+	publishing sync.Mutex
+
 	dirty   chan struct{}
 	leaving atomic.Bool
 }
--- a/internal/meshrunner/peers.go
+++ b/internal/meshrunner/peers.go
@@ -96,7 +96,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	ru.writeJSON(w, sn)
+	ru.zips.write(ru, w, fo, from, sn)
 }
 
 func (ru *Runner) serveHello(w http.ResponseWriter, r *http.Request) {
--- a/internal/meshrunner/promote.go
+++ b/internal/meshrunner/promote.go
@@ -162,10 +162,15 @@
 	fresh, base, missing := ru.gather(ctx, entries, seen.Move)
 	elapsed := seen.Elapsed + ru.Now().Sub(seen.seen)
 	mo, changed := stager.Decide(seen.Move, or, elapsed, fresh, base, missing)
-	ru.Log.WithFields(logrus.Fields{
-		"service": or.Service, "elapsedMs": elapsed.Milliseconds(), "step": seen.Step,
-		"fresh": fresh, "base": base, "missing": missing, "changed": changed,
-	}).Debug("rollout evidence")
+	if changed {
+		ru.Log.WithFields(logrus.Fields{
+			"service": or.Service, "elapsedMs": elapsed.Milliseconds(), "step": seen.Step,
+			"targets": fresh.Targets, "total": stager.Sum(fresh.Total),
+			"recent": stager.Sum(fresh.Recent), "baseTotal": stager.Sum(base.Total),
+			"baseRecent": stager.Sum(base.Recent), "baseRunning": base.Running,
+			"missing": missing,
+		}).Info("rollout evidence")
+	}
 	return mo, changed
 }
 
--- a/internal/meshrunner/view.go
+++ b/internal/meshrunner/view.go
@@ -143,6 +143,7 @@
 	vi := &carrier.View{
 		Config: ru.config, Targets: map[string][]carrier.Target{},
 		Versions: map[string]stager.Versions{}, Out: map[string]bool{}, Nodes: len(entries),
+		Canaries: map[string]map[string]bool{},
 	}
 	ru.operator.Each(func(rc replicator.Record) {
 		if dataCentre, ok := ru.Evacuation(rc.Key); ok {
@@ -161,12 +162,27 @@
 		counts[en.Service][en.Version]++
 	}
 	for service := range ru.config.Services {
-		vi.Versions[service] = ru.versions(service, counts[service])
+		ve := ru.versions(service, counts[service])
+		vi.Versions[service] = ve
+		if ve.Next != "" {
+			vi.Canaries[service] = canaries(ve, vi.Targets[service])
+		}
 	}
 	ru.permit(vi, &own)
 	ru.carrier.SetView(vi)
 }
 
+// canaries returns the targets that get the new version's requests.
+func canaries(ve stager.Versions, targets []carrier.Target) map[string]bool {
+	var ids []string
+	for nn := range targets {
+		if targets[nn].Version == ve.Next {
+			ids = append(ids, targets[nn].ID)
+		}
+	}
+	return stager.Canaries(ve.Next, ve.Share, ids)
+}
+
 func target(en *registrar.Entry) carrier.Target {
 	return carrier.Target{
 		Target: placer.Target{
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -74,7 +74,7 @@
 // were overtaken are ignored.
 func (ow *Own) Heartbeat(he Heartbeat) Verdict {
 	cu := &ow.current
-	if left, ok := ow.left[he.ID]; ok && !he.Born.After(left) {
+	if ow.hasLeft(he.ID, he.Born) {
 		return Stale
 	}
 	known := cu.State != Unknown
@@ -98,24 +98,36 @@
 }
 
 // Leave notes that a target has left or will soon. It reports whether that is
-// the current one.
-func (ow *Own) Leave(id string) bool {
+// the current one. An incarnation that is not known yet counts as started before
+// now: a node that has just restarted may learn of it only later.
+func (ow *Own) Leave(id string, now time.Time) bool {
+	if ow.left == nil {
+		ow.left = map[string]time.Time{}
+	}
 	cu := &ow.current
 	if cu.State == Unknown || cu.ID != id {
+		ow.left[id] = now
 		return false
 	}
-	if ow.left == nil {
-		ow.left = map[string]time.Time{}
-	}
 	ow.left[id] = cu.Born
 	cu.State = Leaving
 	return true
 }
 
+// hasLeft reports whether the incarnation said that it leaves.
+func (ow *Own) hasLeft(id string, born time.Time) bool {
+	left, ok := ow.left[id]
+	return ok && !born.After(left)
+}
+
 // Restore takes the target over from an entry that an earlier process of this
 // node has published. The target confirms it by its health check.
 func (ow *Own) Restore(in Instance) {
-	if ow.current.State == Unknown {
-		ow.current = in
+	if ow.current.State != Unknown {
+		return
+	}
+	if ow.hasLeft(in.ID, in.Born) {
+		in.State = Leaving
 	}
+	ow.current = in
 }
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -45,16 +45,28 @@
 
 func TestLeave(t *testing.T) {
 	var ow Own
-	assert.False(t, ow.Leave("a"), "nothing is known")
+	assert.False(t, ow.Leave("x", born), "nothing is known")
 	ow.Heartbeat(heartbeat("a", 1, born))
-	assert.False(t, ow.Leave("b"), "another one")
-	assert.True(t, ow.Leave("a"))
+	assert.False(t, ow.Leave("b", born), "another one")
+	assert.True(t, ow.Leave("a", born))
 	assert.Equal(t, Leaving, ow.Current().State)
 	assert.Equal(t, Stale, ow.Heartbeat(heartbeat("a", 2, born)), "a heartbeat that was delayed")
 	assert.Equal(t, Changed, ow.Heartbeat(heartbeat("a", 1, born.Add(time.Second))))
 	assert.Equal(t, Ready, ow.Current().State)
 }
 
+// A node restarts beside a target; the target says that it leaves before the
+// node has read its own earlier entry, which says that it is ready.
+func TestLeaveBeforeRestore(t *testing.T) {
+	var ow Own
+	assert.False(t, ow.Leave("a", born.Add(time.Minute)))
+	ow.Restore(Instance{Heartbeat: heartbeat("a", 5, born), State: Ready})
+	assert.Equal(t, Leaving, ow.Current().State)
+	assert.Equal(t, Stale, ow.Heartbeat(heartbeat("a", 6, born)))
+	assert.Equal(t, Changed, ow.Heartbeat(heartbeat("a", 1, born.Add(2*time.Minute))))
+	assert.Equal(t, Ready, ow.Current().State)
+}
+
 func TestEntryRoundTrip(t *testing.T) {
 	node := netip.MustParseAddrPort("10.0.0.1:80")
 	in := Instance{Heartbeat: heartbeat("a", 5, born), State: Leaving}
--- a/internal/replicator/follower.go
+++ b/internal/replicator/follower.go
@@ -38,9 +38,10 @@
 	// answerTime is how long the store may take beyond the wait that a read asks
 	// for. A store that is slowed 80 times takes 320 ms.
 	answerTime = 800 * time.Millisecond
-	// lostTime bounds a call to a store that did not answer the last one, and
-	// slowLostTime every slowEvery-th call, in case it is only slow.
-	lostTime     = 700 * time.Millisecond
+	// lostTime bounds a call to a store that did not answer the last one: a large
+	// configuration takes a second over a slow link. slowLostTime bounds every
+	// slowEvery-th call, in case the store is slow.
+	lostTime     = 1200 * time.Millisecond
 	slowLostTime = 2500 * time.Millisecond
 	slowEvery    = 4
 	// peersPeriod is the least time between two calls to other nodes.
--- a/internal/stager/collector.go
+++ b/internal/stager/collector.go
@@ -11,8 +11,8 @@
 	slowFactor = 1.5
 	// recentTime is the time that recent tallies cover.
 	recentTime = 3 * time.Second
-	// slices is the number of parts of recentTime.
-	slices = 6
+	// sliceCount is the number of parts of recentTime.
+	sliceCount = 6
 	// guardBad and guardShare bound what a node lets a new version do before the
 	// nodes have agreed on its fault: the bad responses of its own target.
 	guardBad   = 12
@@ -45,7 +45,7 @@
 // use.
 type Collector struct {
 	total  map[string]Tally
-	recent [slices]slice
+	recent [sliceCount]slice
 }
 
 // NewCollector returns a collector.
@@ -60,7 +60,7 @@
 		ta.Bad = 1
 	}
 	number := sliceNumber(now)
-	sl := &co.recent[number%slices]
+	sl := &co.recent[number%sliceCount]
 	if sl.number != number || sl.tallies == nil {
 		*sl = slice{number: number, tallies: map[string]Tally{}}
 	}
@@ -72,7 +72,7 @@
 func (co *Collector) Tallies(now time.Time) (total, recent map[string]Tally) {
 	recent = map[string]Tally{}
 	for _, sl := range co.recent {
-		if sliceNumber(now)-sl.number < slices {
+		if sliceNumber(now)-sl.number < sliceCount {
 			Merge(recent, sl.tallies)
 		}
 	}
@@ -81,7 +81,7 @@
 
 // Guarded reports whether the target alone has shown a fault of its version.
 func (co *Collector) Guarded() bool {
-	total := sum(co.total)
+	total := Sum(co.total)
 	return total.Bad >= guardBad && float64(total.Bad) >= guardShare*float64(total.Requests)
 }
 
@@ -99,5 +99,5 @@
 }
 
 func sliceNumber(now time.Time) int64 {
-	return now.UnixNano() / int64(recentTime/slices)
+	return now.UnixNano() / int64(recentTime/sliceCount)
 }
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -55,21 +55,27 @@
 // steps keep the first share below the tenth that a bad version may get of all
 // requests, long enough for a fault that shows some seconds after the start,
 // and leave a third of the duration for the old targets to finish their work.
-var steps = []step{{0.05, 0.38}, {0.25, 0.5}, {0.5, 0.6}, {1, 0.9}}
+var steps = []step{{0.05, 0.38}, {0.25, 0.5}, {0.5, 0.58}, {1, 0.9}}
+
+// settled is the part of the duration until which the last step lasts at least.
+const settled = 0.72
 
 const (
 	// minBad is the least number of bad responses that proves a fault.
-	minBad = 6
-	// badMargin is the share of bad responses that a good version may have, and
-	// baseFactor how much worse than the base version it may be besides.
+	minBad = 10
+	// badMargin is the share of bad responses that a good version may have beyond
+	// baseFactor times that of the base version.
 	badMargin  = 0.08
-	baseFactor = 2.0
+	baseFactor = 1.25
 	// sigmas is how many standard deviations above the bound the bad responses
 	// must be, because every look at the evidence is a test.
-	sigmas = 3.0
-	// minBase is the number of the base version's responses from which its share
-	// of bad ones counts.
-	minBase = 10
+	sigmas = 4.0
+	// baseSigmas is by how many standard deviations the share of bad responses of
+	// the base version is taken to be higher than seen.
+	baseSigmas = 2.0
+	// minBase is the number of the base version's recent responses below which all
+	// of them count instead.
+	minBase = 20
 	// minRequests is the evidence that the first step needs.
 	minRequests = 20
 	// giveUp is the part of the duration after which a rollout without enough
@@ -129,9 +135,9 @@
 		return finish(mo, RolledBack, elapsed, reason), true
 	}
 	progress := float64(elapsed) / float64(max(or.Duration, time.Second))
-	total := sum(fresh.Total)
+	total := Sum(fresh.Total)
 	if mo.Full() {
-		if base.Running == 0 && !missing && progress > steps[mo.Step-1].until ||
+		if base.Running == 0 && !missing && progress > settled ||
 			progress > steps[len(steps)-1].until {
 			return finish(mo, Complete, elapsed, "all traffic moved"), true
 		}
@@ -159,14 +165,14 @@
 // faulty reports whether the new version is worse than the base version, on
 // one route or on all, of late or in total.
 func faulty(fresh, base Evidence) (string, bool) {
-	if worse(sum(fresh.Recent), sum(base.Recent)) {
+	if worse(Sum(fresh.Recent), usable(Sum(base.Recent), Sum(base.Total))) {
 		return "recent responses", true
 	}
-	if worse(sum(fresh.Total), sum(base.Total)) {
+	if worse(Sum(fresh.Total), Sum(base.Total)) {
 		return "all responses", true
 	}
 	for route, ta := range fresh.Recent {
-		if worse(ta, base.Recent[route]) {
+		if worse(ta, usable(base.Recent[route], base.Total[route])) {
 			return "recent responses of route " + route, true
 		}
 	}
@@ -178,20 +184,34 @@
 	return "", false
 }
 
+// usable returns the recent tally, or the total one if that is too small.
+func usable(recent, total Tally) Tally {
+	if recent.Requests < minBase {
+		return total
+	}
+	return recent
+}
+
+// worse reports whether a version has more bad responses than those of the base
+// version and chance explain.
 func worse(fresh, base Tally) bool {
 	if fresh.Bad < minBad {
 		return false
 	}
 	bound := badMargin
-	if base.Requests >= minBase {
-		bound += baseFactor * float64(base.Bad) / float64(base.Requests)
+	if base.Requests > 0 {
+		// The two of each kind keep small samples from looking certain.
+		number := float64(base.Requests) + 4
+		rate := (float64(base.Bad) + 2) / number
+		bound += baseFactor * (rate + baseSigmas*math.Sqrt(rate*(1-rate)/number))
 	}
 	bound = min(bound, 1)
 	number := float64(fresh.Requests)
 	return float64(fresh.Bad) > bound*number+sigmas*math.Sqrt(bound*(1-bound)*number)
 }
 
-func sum(tallies map[string]Tally) Tally {
+// Sum adds up tallies by route.
+func Sum(tallies map[string]Tally) Tally {
 	var total Tally
 	for _, ta := range tallies {
 		total.Add(ta)
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -109,6 +109,40 @@
 	}
 }
 
+// The base version fails a sixth of its requests for reasons of its own; that
+// does not hide a version that fails half.
+func TestTroubleDoesNotHideFault(t *testing.T) {
+	for seed := range uint64(100) {
+		mo, exposed, _ := rollout(seed, version{bad: share(0.55)}, 0.15)
+		assert.Equal(t, RolledBack, mo.State, "seed %d", seed)
+		assert.Less(t, exposed, 0.1, "seed %d", seed)
+	}
+}
+
+// Before the last step every canary bears at least the load that it will bear in
+// the end, as soon as the share is that of one target.
+func TestCanariesBearFullLoad(t *testing.T) {
+	for _, targets := range []int{1, 2, 3, 4, 7, 44} {
+		var ids []string
+		for nn := range targets {
+			ids = append(ids, fmt.Sprint("t", nn))
+		}
+		for _, st := range steps {
+			chosen := Canaries("v2", st.share, ids)
+			assert.NotEmpty(t, chosen)
+			if st.share*float64(targets) < 1 {
+				assert.Len(t, chosen, 1)
+				continue
+			}
+			load := st.share / float64(len(chosen))
+			assert.GreaterOrEqual(t, load, 1/float64(targets), "%d targets, %v", targets, st.share)
+		}
+		assert.Len(t, Canaries("v2", 1, ids), targets)
+		assert.Equal(t, Canaries("v2", 0.25, ids), Canaries("v2", 0.25, ids))
+	}
+	assert.Empty(t, Canaries("v2", 0.05, nil))
+}
+
 func TestNoEvidenceRollsBack(t *testing.T) {
 	mo, or := move(), order()
 	_, changed := Decide(mo, or, 9*time.Second, Evidence{}, Evidence{}, false)
@@ -122,11 +156,13 @@
 func TestCompleteWaitsForBase(t *testing.T) {
 	mo, or := move(), order()
 	mo.Step = len(steps) - 1
-	_, changed := Decide(mo, or, 10*time.Second, Evidence{}, Evidence{Running: 1}, false)
+	_, changed := Decide(mo, or, 11*time.Second, Evidence{}, Evidence{Running: 1}, false)
 	assert.False(t, changed)
-	_, changed = Decide(mo, or, 10*time.Second, Evidence{}, Evidence{}, true)
+	_, changed = Decide(mo, or, 11*time.Second, Evidence{}, Evidence{}, true)
 	assert.False(t, changed, "a node has not answered")
-	done, changed := Decide(mo, or, 10*time.Second, Evidence{}, Evidence{}, false)
+	_, changed = Decide(mo, or, 10*time.Second, Evidence{}, Evidence{}, false)
+	assert.False(t, changed, "too short a time with all requests")
+	done, changed := Decide(mo, or, 11*time.Second, Evidence{}, Evidence{}, false)
 	assert.True(t, changed)
 	assert.Equal(t, Complete, done.State)
 	done, changed = Decide(mo, or, 14*time.Second, Evidence{}, Evidence{Running: 1}, true)
@@ -147,7 +183,7 @@
 		co := NewCollector()
 		co.Add(tc.re, epoch)
 		total, _ := co.Tallies(epoch)
-		assert.Equal(t, tc.bad, sum(total).Bad, name)
+		assert.Equal(t, tc.bad, Sum(total).Bad, name)
 	}
 }
 
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -1,5 +1,12 @@
 package stager
 
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
 // Versions says which versions of a service get requests.
 type Versions struct {
 	// Base gets all but Share of the requests; empty means every version that is
@@ -48,6 +55,32 @@
 	return ve
 }
 
+// Canaries returns the targets of the new version that share its requests, from
+// the IDs of all of them. While the share is small they are so few that each
+// bears the load that it will bear in the end: a version that fails under load
+// shows it before it has all requests. Every node chooses the same ones.
+func Canaries(version string, share float64, ids []string) map[string]bool {
+	count := len(ids)
+	if share < 1 {
+		count = max(int(share*canaryLoad*float64(len(ids))), 1)
+	}
+	ordered := slices.Clone(ids)
+	slices.SortFunc(ordered, func(a, b string) int {
+		return cmp.Or(
+			cmp.Compare(xxhash.Sum64String(version+"/"+a), xxhash.Sum64String(version+"/"+b)),
+			cmp.Compare(a, b),
+		)
+	})
+	chosen := make(map[string]bool, count)
+	for _, id := range ordered[:min(count, len(ordered))] {
+		chosen[id] = true
+	}
+	return chosen
+}
+
+// canaryLoad is below one so that canaries bear a little more than in the end.
+const canaryLoad = 0.9
+
 // majority returns the version that most targets have, but for the one that an
 // order asks for; the smaller name of two.
 func majority(counts map[string]int, or *Order) string {
