--- a/internal/meshrunner/keep.go
+++ b/internal/meshrunner/keep.go
@@ -22,6 +22,10 @@
 	// keepPeriod is how often the node looks after its target and unreachable
 	// nodes.
 	keepPeriod = 250 * time.Millisecond
+	// greetTicks and sweepTicks are the numbers of periods between two looks at
+	// departed nodes, a second, and at idle connections, two seconds.
+	greetTicks = 4
+	sweepTicks = 8
 	// gapTime is the time missing between two looks from which the node takes
 	// itself for one that was stopped.
 	gapTime = time.Second
@@ -54,20 +58,43 @@
 		if ru.gate.Doubted() {
 			ru.verify(ctx)
 		}
-		for _, node := range ru.carrier.Unreached() {
+		due := ru.carrier.Unreached()
+		for _, node := range due {
 			ru.carrier.Probed(node, false) // until it answers
+		}
+		if count%greetTicks == 0 {
+			due = append(due, ru.departed()...)
+		}
+		for _, node := range due {
 			probes.Add(1)
 			go func() {
 				defer probes.Done()
 				ru.probe(ctx, node)
 			}()
 		}
-		if count%8 == 0 {
+		if count%sweepTicks == 0 {
 			ru.carrier.Sweep()
 		}
 	}
 }
 
+// departed returns the nodes of the own data centre that said they stop, if this
+// node is its reader. One that has started again while the store does not answer
+// it knows no other node until one says hello.
+func (ru *Runner) departed() []netip.AddrPort {
+	se := ru.settings.Load()
+	if ru.reader() != se.Nodes {
+		return nil
+	}
+	var gone []netip.AddrPort
+	for _, en := range ru.entries() {
+		if en.NodeLeaving && en.DataCentre == se.DataCentre {
+			gone = append(gone, en.Node)
+		}
+	}
+	return gone
+}
+
 // bootTime returns the time since the machine started, including the time that
 // it was suspended, which the monotonic clock leaves out.
 func bootTime() time.Duration {
@@ -81,7 +108,7 @@
 // probe asks an unreachable node whether it is back.
 func (ru *Runner) probe(ctx context.Context, node netip.AddrPort) {
 	he, err := ru.hail(ctx, node)
-	if err != nil || !he.Ready {
+	if err != nil || !he.Ready || ru.carrier.Reachable(node) {
 		return
 	}
 	ru.carrier.Probed(node, true)
--- a/internal/meshrunner/metrics.go
+++ b/internal/meshrunner/metrics.go
@@ -39,6 +39,10 @@
 	running, waiting := ru.gate.Busy()
 	lines = append(lines, fmt.Sprintf("gate.running %d", running),
 		fmt.Sprintf("gate.waiting %d", waiting))
+	if vi := ru.carrier.View(); vi != nil {
+		lines = append(lines, fmt.Sprintf("mesh.nodes %d", vi.Nodes),
+			fmt.Sprintf("config.version %d", vi.Config.Version))
+	}
 	sort.Strings(lines)
 	for _, line := range lines {
 		// A reader that is gone needs no more lines.
