--- a/internal/meshrunner/relay.go
+++ b/internal/meshrunner/relay.go
@@ -31,8 +31,9 @@
 	// relayWait bounds the wait at the reader, relaySlack its answer beyond that.
 	relayWait  = 1200 * time.Millisecond
 	relaySlack = 300 * time.Millisecond
-	// relayRest is how long a node reads the store itself after its reader failed.
-	relayRest = 3 * time.Second
+	// relayRest is how long a node reads the store itself after the reader said
+	// that it cannot help.
+	relayRest = 700 * time.Millisecond
 )
 
 // reader returns the node of the own data centre that reads the store: one of
@@ -87,9 +88,14 @@
 	if ctx.Err() != nil {
 		return sn, err
 	}
-	re.mu.Lock()
-	re.rest = ru.Now().Add(relayRest)
-	re.mu.Unlock()
+	var refused *errRefused
+	if errors.As(err, &refused) {
+		re.mu.Lock()
+		re.rest = ru.Now().Add(relayRest)
+		re.mu.Unlock()
+	} else {
+		ru.carrier.Probed(reader, false) // another node is the reader until it answers
+	}
 	ru.Log.WithError(err).WithField("topic", re.topic).WithField("node", reader.String()).
 		Info("reader does not answer; reading the store")
 	return re.Source.Read(ctx, from, 0)
