--- a/cmd/guavastall/main.go
+++ b/cmd/guavastall/main.go
@@ -42,6 +42,7 @@
 	DataCentre *dataCentreCmd `arg:"subcommand:datacentre" help:"take a data centre out or in"`
 	Drain      *drainCmd      `arg:"subcommand:drain" help:"stop a node gracefully"`
 	Demo       *demoCmd       `arg:"subcommand:demo" help:"run a small deployment in one process and check it"`
+	Trace      *traceCmd      `arg:"subcommand:trace" help:"print the story of a request from the logs of nodes"`
 	Version    *versionCmd    `arg:"subcommand:version" help:"print the version"`
 }
 
