Log whole stories under load; ask a lost store for one topic only

Lines on requests beyond half of the budget are chosen by the hash of their ID, so that all nodes keep the same ones.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -82,9 +82,9 @@
 
 // Log takes events. It must not block.
 type Log interface {
-	// Wants reports whether an event would be written, so that its fields need
-	// not be built otherwise.
-	Wants(failed bool, now time.Time) bool
+	// Wants reports whether an event on the request would be written, so that its
+	// fields need not be built otherwise.
+	Wants(id string, failed bool, now time.Time) bool
 	Event(Event)
 }
 
--- a/internal/carrier/events.go
+++ b/internal/carrier/events.go
@@ -55,7 +55,7 @@
 
 // event logs a decision on a request if the log wants it.
 func (ca *Carrier) event(failed bool, name string, rq *request, fields func() map[string]any) {
-	if !ca.log.Wants(failed, ca.config.Now()) {
+	if !ca.log.Wants(rq.id, failed, ca.config.Now()) {
 		return
 	}
 	ca.log.Event(Event{Name: name, ID: rq.id, Failed: failed, Fields: fields()})
--- a/internal/carrier/last.go
+++ b/internal/carrier/last.go
@@ -110,7 +110,7 @@
 		worked = 0
 	}
 	ca.gate.exit(pa, worked)
-	ca.learn(rq, rs, took, began)
+	ca.learn(rq, rs, took)
 	return rs
 }
 
@@ -163,7 +163,7 @@
 }
 
 // learn takes the end of a request at the target as evidence.
-func (ca *Carrier) learn(rq *request, rs *result, took time.Duration, began time.Time) {
+func (ca *Carrier) learn(rq *request, rs *result, took time.Duration) {
 	if rs.outcome == retrier.NotRun {
 		ca.event(true, "not run", rq, func() map[string]any {
 			return map[string]any{"detail": rs.detail, "target": rq.target}
@@ -179,7 +179,7 @@
 		ca.event(true, "unknown", rq, func() map[string]any {
 			return map[string]any{
 				"kind": rs.kind.String(), "detail": rs.detail, "target": rq.target,
-				"tookMs": took.Milliseconds(), "began": began.UnixMilli(),
+				"tookMs": took.Milliseconds(),
 			}
 		})
 	} else {
--- a/internal/logkeeper/logkeeper.go
+++ b/internal/logkeeper/logkeeper.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavastall/guavastall/internal/carrier"
@@ -27,6 +28,10 @@
 	// that is killed loses the lines of the last flushTime.
 	failedPerSecond = 100
 	servedPerSecond = 5
+	// sampledOf is how many requests share one that is logged under load. It is
+	// chosen by its ID, so that all nodes choose the same ones and a request's
+	// story is whole.
+	sampledOf = 16
 )
 
 // Writer is a writer that does not block. It is safe for concurrent use.
@@ -104,11 +109,16 @@
 	most         int64
 }
 
-func (qu *quota) take(now time.Time) bool {
+// take takes a line. Of the second half of the quota only sampled requests take.
+func (qu *quota) take(sampled bool, now time.Time) bool {
 	second := now.Unix()
 	if qu.second.Swap(second) != second {
 		qu.used.Store(0)
 	}
+	used := qu.used.Load()
+	if used >= qu.most || !sampled && used >= qu.most/2 {
+		return false
+	}
 	return qu.used.Add(1) <= qu.most
 }
 
@@ -128,12 +138,12 @@
 }
 
 // Wants implements [carrier.Log].
-func (re *Requests) Wants(failed bool, now time.Time) bool {
+func (re *Requests) Wants(id string, failed bool, now time.Time) bool {
 	qu := &re.served
 	if failed {
 		qu = &re.failed
 	}
-	if qu.take(now) {
+	if qu.take(xxhash.Sum64String(id)%sampledOf == 0, now) {
 		return true
 	}
 	re.skipped.Add(1)
--- a/internal/logkeeper/logkeeper_test.go
+++ b/internal/logkeeper/logkeeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"strings"
 	"sync"
@@ -65,25 +66,45 @@
 	assert.Equal(t, 100, strings.Count(out.String(), "line\n"))
 }
 
+// Two nodes under load log the same requests.
+func TestRequestsSampledByID(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	now := time.Unix(1_000_000, 0)
+	var stories [2]map[string]bool
+	for node := range stories {
+		re := NewRequests(log)
+		for nn := range failedPerSecond { // uses up what is not sampled
+			re.Wants(fmt.Sprint("other", node, nn), true, now)
+		}
+		stories[node] = map[string]bool{}
+		for nn := range 200 {
+			if id := fmt.Sprint(nn); re.Wants(id, true, now) {
+				stories[node][id] = true
+			}
+		}
+	}
+	assert.NotEmpty(t, stories[0])
+	assert.Equal(t, stories[0], stories[1])
+}
+
 func TestRequestsBounded(t *testing.T) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	re := NewRequests(log)
 	now := time.Unix(1_000_000, 0)
 	failed, served := 0, 0
-	for range 1000 {
-		if re.Wants(false, now) {
+	for nn := range 2000 {
+		if re.Wants(fmt.Sprint(nn), false, now) {
 			served++
 		}
-	}
-	for range 1000 {
-		if re.Wants(true, now) {
+		if re.Wants(fmt.Sprint(nn), true, now) {
 			failed++
 		}
 	}
 	assert.Equal(t, servedPerSecond, served)
 	assert.Equal(t, failedPerSecond, failed, "served requests do not use up the lines of failed ones")
-	assert.Equal(t, int64(2000-served-failed), re.Skipped())
-	assert.True(t, re.Wants(false, now.Add(time.Second)))
+	assert.Equal(t, int64(4000-served-failed), re.Skipped())
+	assert.True(t, re.Wants("1", false, now.Add(time.Second)))
 	re.Event(carrier.Event{Name: "request", ID: "1"})
 }
--- a/internal/meshrunner/member.go
+++ b/internal/meshrunner/member.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -99,9 +100,12 @@
 		}
 		for ctx.Err() == nil {
 			again, err := ru.publishEntry(ctx)
-			if err != nil {
+			switch {
+			case errors.Is(err, errStoreLost): // logged when it was lost
+			case err != nil:
 				ru.Log.WithError(err).Warn("entry not published")
-			} else if !again {
+			}
+			if err == nil && !again {
 				break
 			}
 			pause(ctx, publishRetry)
@@ -118,6 +122,9 @@
 	if _, primed := ru.mesh.End(); !primed {
 		return true, nil // the own earlier entry is not known yet
 	}
+	if ru.operator.Lost() {
+		return true, errStoreLost
+	}
 	se := ru.settings.Load()
 	en := registrar.NewEntry(se.Nodes, se.DataCentre, ru.gate.Current())
 	en.NodeLeaving, en.Capacity = ru.leaving.Load(), se.Capacity
--- a/internal/meshrunner/meshrunner.go
+++ b/internal/meshrunner/meshrunner.go
@@ -70,6 +70,12 @@
 	Now     func() time.Time
 }
 
+// The names of the topics between nodes and in logs.
+const (
+	operatorTopic = "operator"
+	meshTopic     = "mesh"
+)
+
 const (
 	// operatorWait is how long a read of the operator's topic waits, at the store
 	// or at the reader.
@@ -129,15 +135,15 @@
 		Caller: func() string { return ru.settings.Load().Service },
 	}, ru.gate, pa.Events, pa.Metrics)
 	ru.operator = replicator.New(replicator.Config{
-		Topic: "operator", Wait: operatorWait, Pause: operatorPause,
+		Topic: operatorTopic, Wait: operatorWait, Pause: operatorPause,
 		Changed: ru.operatorChanged, Lost: func() { ru.mesh.Kick() }, Log: pa.Log, Now: pa.Now,
 	}, &relay{
-		Source: pa.Operator, runner: ru, topic: "operator", storeWait: readerWait,
+		Source: pa.Operator, runner: ru, topic: operatorTopic, storeWait: readerWait,
 	}, ru.peers)
 	ru.mesh = replicator.New(replicator.Config{
-		Topic: "mesh", Wait: meshWait, Pause: meshPause, Changed: ru.meshChanged, Log: pa.Log,
+		Topic: meshTopic, Wait: meshWait, Pause: meshPause, Changed: ru.meshChanged, Log: pa.Log,
 		Now: pa.Now,
-	}, &relay{Source: pa.Mesh, runner: ru, topic: "mesh", storeWait: meshWait}, ru.peers)
+	}, &relay{Source: pa.Mesh, runner: ru, topic: meshTopic, storeWait: meshWait}, ru.peers)
 	return ru
 }
 
--- a/internal/meshrunner/peers.go
+++ b/internal/meshrunner/peers.go
@@ -76,9 +76,9 @@
 
 func (ru *Runner) follower(topic string) *replicator.Follower {
 	switch topic {
-	case "operator":
+	case operatorTopic:
 		return ru.operator
-	case "mesh":
+	case meshTopic:
 		return ru.mesh
 	}
 	return nil
--- a/internal/meshrunner/relay.go
+++ b/internal/meshrunner/relay.go
@@ -58,6 +58,9 @@
 	return elector.Owner("reader", nodes)
 }
 
+// errStoreLost spares a call to a store that does not answer another one.
+var errStoreLost = errors.New("the store does not answer")
+
 // relay is a topic that is read at the data centre's reader.
 type relay struct {
 	replicator.Source
@@ -76,6 +79,9 @@
 	ctx context.Context, from uint64, wait time.Duration,
 ) (replicator.Snapshot, error) {
 	ru := re.runner
+	if re.topic == meshTopic && ru.operator.Lost() {
+		return replicator.Snapshot{}, errStoreLost
+	}
 	reader := ru.reader()
 	if wait == 0 || !reader.IsValid() || reader == ru.settings.Load().Nodes || re.resting() {
 		return re.Source.Read(ctx, from, min(wait, re.storeWait))
