--- a/internal/meshrunner/peers.go
+++ b/internal/meshrunner/peers.go
@@ -153,7 +153,7 @@
 	}
 	defer func() { _ = rs.Body.Close() }()
 	if rs.StatusCode != http.StatusOK {
-		return &errRefused{node, rs.Status}
+		return fmt.Errorf("node %s answered %s", node, rs.Status)
 	}
 	data, err := io.ReadAll(io.LimitReader(rs.Body, maxPeerBytes))
 	if err != nil {
@@ -162,16 +162,6 @@
 	return json.Unmarshal(data, answer)
 }
 
-// errRefused is a node's answer other than 200.
-type errRefused struct {
-	node   netip.AddrPort
-	status string
-}
-
-func (er *errRefused) Error() string {
-	return fmt.Sprintf("node %s answered %s", er.node, er.status)
-}
-
 // hail probes a node and makes this one known to it.
 func (ru *Runner) hail(ctx context.Context, node netip.AddrPort) (hello, error) {
 	var he hello
--- a/internal/meshrunner/relay.go
+++ b/internal/meshrunner/relay.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -94,14 +95,13 @@
 	if ctx.Err() != nil {
 		return sn, err
 	}
-	var refused *errRefused
-	if errors.As(err, &refused) {
-		re.mu.Lock()
-		re.rest = ru.Now().Add(relayRest)
-		re.mu.Unlock()
-	} else {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
 		ru.carrier.Probed(reader, false) // another node is the reader until it answers
 	}
+	re.mu.Lock()
+	re.rest = ru.Now().Add(relayRest)
+	re.mu.Unlock()
 	ru.Log.WithError(err).WithField("topic", re.topic).WithField("node", reader.String()).
 		Info("reader does not answer; reading the store")
 	return re.Source.Read(ctx, from, 0)
