Run requests for an earlier incarnation at the one in its place; tell who is down

The gate now lets the new incarnation of the same service run them, outside rollouts of its version, and entries say when a target fails its health checks. Such refusals count apart from those for want of room. Ruled out: publishing entries faster; they wait for the store after a restart. Tests of the carrier's connections and gate.

--- /dev/null
+++ b/internal/carrier/conn_test.go
@@ -0,0 +1,202 @@
+package carrier
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// script serves one connection after another; each gets the requests' IDs.
+func script(t *testing.T, serve func(conn net.Conn, requests *bufio.Reader)) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn, bufio.NewReader(conn))
+		}
+	}()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func exchangeOf(id string) *exchange {
+	return &exchange{
+		id: id, idName: "X-Id", method: http.MethodGet, uri: "/a?b=c", host: "h",
+		extra: [][2]string{{"X-Id", id}}, until: time.Now().Add(10 * time.Second),
+	}
+}
+
+func response200(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " +
+		string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+// nextID reads a request and returns its ID.
+func nextID(requests *bufio.Reader) (string, bool) {
+	rq, err := http.ReadRequest(requests)
+	if err != nil {
+		return "", false
+	}
+	_, _ = io.Copy(io.Discard, rq.Body)
+	return rq.Header.Get("X-Id"), true
+}
+
+func TestSendReusesConnections(t *testing.T) {
+	conns := make(chan struct{}, 10)
+	to := script(t, func(conn net.Conn, requests *bufio.Reader) {
+		conns <- struct{}{}
+		for {
+			id, ok := nextID(requests)
+			if !ok {
+				return
+			}
+			_, _ = io.WriteString(conn, response200(id, "ok"))
+		}
+	})
+	po := newPool(to, time.Second)
+	for _, id := range []string{"1", "2", "3"} {
+		re, sent, err := po.send(context.Background(), exchangeOf(id), time.Now)
+		require.NoError(t, err)
+		assert.True(t, sent)
+		assert.Equal(t, "ok", string(re.body))
+	}
+	assert.Len(t, conns, 1)
+}
+
+// A late answer to an earlier request is skipped, and the own one found.
+func TestSendSkipsStrays(t *testing.T) {
+	to := script(t, func(conn net.Conn, requests *bufio.Reader) {
+		for {
+			id, ok := nextID(requests)
+			if !ok {
+				return
+			}
+			_, _ = io.WriteString(conn, response200("earlier", "no")+response200(id, "yes"))
+		}
+	})
+	po := newPool(to, time.Second)
+	re, _, err := po.send(context.Background(), exchangeOf("1"), time.Now)
+	require.NoError(t, err)
+	assert.Equal(t, "yes", string(re.body))
+	assert.Empty(t, po.idle, "a connection in doubt is not used again")
+}
+
+func TestSendRejectsWhatIsNotWhole(t *testing.T) {
+	for name, text := range map[string]string{
+		"cut in the head":        "HTTP/1.1 200 OK\r\nX-Id: 1\r\n",
+		"cut in the body":        "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nhalf",
+		"cut in a chunk":         "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf",
+		"not HTTP":               "hello\r\n\r\n",
+		"of other requests":      strings.Repeat(response200("2", "no"), maxStrays+1),
+		"nothing":                "",
+		"without a request's ID": "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno",
+	} {
+		to := script(t, func(conn net.Conn, requests *bufio.Reader) {
+			nextID(requests)
+			_, _ = io.WriteString(conn, text)
+			_ = conn.Close()
+		})
+		_, sent, err := newPool(to, time.Second).send(context.Background(), exchangeOf("1"), time.Now)
+		assert.Error(t, err, name)
+		assert.True(t, sent, name)
+	}
+}
+
+// An answer without a length ends with its connection.
+func TestSendUnframed(t *testing.T) {
+	to := script(t, func(conn net.Conn, requests *bufio.Reader) {
+		nextID(requests)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nwhole")
+		_ = conn.Close()
+	})
+	po := newPool(to, time.Second)
+	re, _, err := po.send(context.Background(), exchangeOf("1"), time.Now)
+	require.NoError(t, err)
+	assert.Equal(t, "whole", string(re.body))
+	assert.Empty(t, po.idle)
+}
+
+// A byte that arrives on an idle connection, or its end, keeps it from use.
+func TestIdleConnectionInDoubt(t *testing.T) {
+	extra := make(chan struct{})
+	to := script(t, func(conn net.Conn, requests *bufio.Reader) {
+		for {
+			id, ok := nextID(requests)
+			if !ok {
+				return
+			}
+			_, _ = io.WriteString(conn, response200(id, "ok"))
+			if id == "1" {
+				_, _ = io.WriteString(conn, response200("1", "no"))
+				close(extra)
+			}
+		}
+	})
+	po := newPool(to, time.Second)
+	_, _, err := po.send(context.Background(), exchangeOf("1"), time.Now)
+	require.NoError(t, err)
+	<-extra
+	re, _, err := po.send(context.Background(), exchangeOf("2"), time.Now)
+	require.NoError(t, err)
+	assert.Equal(t, "ok", string(re.body))
+}
+
+func TestNothingSentWithoutConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	to := netip.MustParseAddrPort(listener.Addr().String())
+	require.NoError(t, listener.Close())
+	_, sent, err := newPool(to, time.Second).send(context.Background(), exchangeOf("1"), time.Now)
+	require.ErrorIs(t, err, errDial)
+	assert.False(t, sent)
+}
+
+func TestCancelEndsExchange(t *testing.T) {
+	ended := make(chan struct{})
+	to := script(t, func(_ net.Conn, requests *bufio.Reader) {
+		nextID(requests)
+		_, _ = requests.ReadByte() // until the connection ends
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, sent, err := newPool(to, time.Second).send(ctx, exchangeOf("1"), time.Now)
+	require.Error(t, err)
+	assert.True(t, sent)
+	<-ended
+}
+
+func TestEncodeKeepsRequest(t *testing.T) {
+	ex := exchangeOf("1")
+	ex.method, ex.body = http.MethodPost, []byte("body")
+	ex.header = http.Header{"X-Other": {"a", "b"}}
+	to := make(chan *http.Request, 1)
+	address := script(t, func(conn net.Conn, requests *bufio.Reader) {
+		rq, err := http.ReadRequest(requests)
+		if err == nil {
+			to <- rq
+		}
+		_ = conn.Close()
+	})
+	_, _, err := newPool(address, time.Second).send(context.Background(), ex, time.Now)
+	require.Error(t, err)
+	rq := <-to
+	assert.Equal(t, "/a?b=c", rq.RequestURI)
+	assert.Equal(t, "h", rq.Host)
+	assert.Equal(t, int64(4), rq.ContentLength)
+	assert.Equal(t, []string{"a", "b"}, rq.Header["X-Other"])
+}
--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -23,6 +23,9 @@
 	// maxPlacements bounds the targets whose nodes are asked for one request. A
 	// refusal by a node costs a round trip and does not reach the target.
 	maxPlacements = 3
+	// maxDetours bounds the nodes that are asked in vain because what is known of
+	// their targets is out of date.
+	maxDetours = 6
 	// maxRetryPart is the part of the remaining time up to which clients wait
 	// before they return.
 	maxRetryPart = 1.0 / 3
@@ -48,6 +51,7 @@
 	next     bool
 	tried    []string
 	placed   int
+	detours  int
 	reached  int
 	last     *result
 	soonest  time.Duration
@@ -216,7 +220,7 @@
 
 // place chooses the target of the next attempt, or returns a refusal.
 func (jo *journey) place(now time.Time) (placer.Choice, *result) {
-	if jo.placed >= maxPlacements {
+	if jo.placed >= maxPlacements || jo.detours >= maxDetours {
 		return placer.Choice{}, refusal(answerer.Overloaded, "every target asked refused", 0)
 	}
 	targets := jo.candidates()
@@ -281,7 +285,6 @@
 
 // attempt sends the request to the target's node.
 func (jo *journey) attempt(ctx context.Context, ch placer.Choice) *result {
-	jo.placed++
 	jo.tried = append(jo.tried, ch.Target.ID)
 	jo.rq.target = ch.Target.ID
 	jo.lastNode = ch.Target.Node.Addr().String()
@@ -317,6 +320,11 @@
 	if rs.reached {
 		jo.reached++
 	}
+	if rs.kind == answerer.NoTarget || rs.kind == answerer.Draining {
+		jo.detours++
+	} else {
+		jo.placed++
+	}
 	if rs.retryAfter > 0 && (jo.soonest == 0 || rs.retryAfter < jo.soonest) {
 		jo.soonest = rs.retryAfter
 	}
--- a/internal/carrier/gate.go
+++ b/internal/carrier/gate.go
@@ -246,7 +246,7 @@
 ) (*pass, *result) {
 	now := ga.now()
 	ga.mu.Lock()
-	if rs := ga.closed(rq.target); rs != nil {
+	if rs := ga.closed(rq); rs != nil {
 		ga.mu.Unlock()
 		return nil, rs
 	}
@@ -318,7 +318,7 @@
 }
 
 // closed returns a refusal if the target takes no requests now.
-func (ga *Gate) closed(target string) *result {
+func (ga *Gate) closed(rq *request) *result {
 	cu := ga.own.Current()
 	switch {
 	case ga.leaving:
@@ -327,7 +327,7 @@
 		return refusal(answerer.NoTarget, "the target is not known yet", unverifiedRetry)
 	case cu.State == registrar.Leaving:
 		return refusal(answerer.Draining, "the target leaves", leavingRetry)
-	case target != cu.ID:
+	case !ga.standsIn(rq, cu):
 		return refusal(answerer.NoTarget, "another target runs here", leavingRetry)
 	case ga.out:
 		return refusal(answerer.DataCentreOut, "the data centre is out", leavingRetry)
@@ -339,11 +339,25 @@
 	return nil
 }
 
-// recheck is closed for a request that holds a slot already.
-func (ga *Gate) recheck(target string) *result {
+// standsIn reports whether the target may run a request that was meant for the
+// given incarnation: it is that one, or has taken its place in the same service.
+// After a power loss all first nodes still know the earlier incarnations. While
+// a rollout of the target's version is under way, its share is kept instead.
+func (ga *Gate) standsIn(rq *request, cu registrar.Instance) bool {
+	if rq.target == cu.ID {
+		return true
+	}
+	return rq.route != nil && !ga.guard && rq.route.Has(cu.Service)
+}
+
+// recheck is closed for a request that holds a pass already.
+func (ga *Gate) recheck(rq *request, pa *pass) *result {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	return ga.closed(target)
+	if pa.target != ga.own.Current().ID {
+		return refusal(answerer.NoTarget, "the target was replaced", leavingRetry)
+	}
+	return ga.closed(rq)
 }
 
 // exit gives the slot back.
--- /dev/null
+++ b/internal/carrier/gate_test.go
@@ -0,0 +1,208 @@
+package carrier
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/guavastall/guavastall/internal/answerer"
+	"github.com/guavastall/guavastall/internal/matcher"
+	"github.com/guavastall/guavastall/internal/placer"
+	"github.com/guavastall/guavastall/internal/registrar"
+	"github.com/guavastall/guavastall/internal/stager"
+)
+
+var born = time.UnixMilli(1_000_000)
+
+func heartbeat(id string, sequence uint64) registrar.Heartbeat {
+	return registrar.Heartbeat{
+		ID: id, Service: "desk", Version: "v1", Slots: 2, Sequence: sequence, Born: born,
+	}
+}
+
+// openGate returns a gate whose target takes requests.
+func openGate() *Gate {
+	ga := NewGate(netip.MustParseAddrPort("127.0.0.1:1"), time.Now)
+	ga.Permit(Rules{ColdRate: 30})
+	ga.Heartbeat(heartbeat("a", 1))
+	return ga
+}
+
+func requestFor(target string) *request {
+	now := time.Now()
+	return &request{
+		id: "1", target: target, arrived: now, deadline: now.Add(10 * time.Second),
+		objective: now.Add(time.Second),
+		route: &matcher.Route{
+			Name: "r", Objective: time.Second, Parts: []matcher.Part{{Service: "desk", Weight: 1}},
+		},
+	}
+}
+
+func enter(ga *Gate, target string) (*pass, *result) {
+	return ga.enter(context.Background(), requestFor(target), 10*time.Millisecond)
+}
+
+func TestGateRefuses(t *testing.T) {
+	for name, tc := range map[string]struct {
+		change func(*Gate)
+		kind   answerer.Kind
+	}{
+		"node leaves":   {func(ga *Gate) { ga.Leave() }, answerer.Draining},
+		"target leaves": {func(ga *Gate) { ga.Depart("a") }, answerer.Draining},
+		"target drains": {func(ga *Gate) {
+			he := heartbeat("a", 2)
+			he.Draining = true
+			ga.Heartbeat(he)
+		}, answerer.Draining},
+		"data centre out": {func(ga *Gate) { ga.Permit(Rules{Out: true}) }, answerer.DataCentreOut},
+		"version barred":  {func(ga *Gate) { ga.Permit(Rules{Barred: true}) }, answerer.NoTarget},
+		"doubted":         {func(ga *Gate) { ga.Doubt() }, answerer.NoTarget},
+		"data centre back, perhaps cold": {func(ga *Gate) {
+			ga.Permit(Rules{Out: true})
+			ga.Permit(Rules{})
+		}, answerer.NoTarget},
+	} {
+		ga := openGate()
+		pa, rs := enter(ga, "a")
+		require.Nil(t, rs, name)
+		ga.exit(pa, 0)
+		tc.change(ga)
+		_, rs = enter(ga, "a")
+		require.NotNil(t, rs, name)
+		assert.Equal(t, tc.kind, rs.kind, name)
+		assert.Positive(t, rs.retryAfter, name)
+	}
+}
+
+func TestGateBeforeRules(t *testing.T) {
+	ga := NewGate(netip.MustParseAddrPort("127.0.0.1:1"), time.Now)
+	he := heartbeat("a", 1)
+	he.ColdLeft = time.Second
+	ga.Heartbeat(he)
+	_, rs := enter(ga, "a")
+	assert.NotNil(t, rs, "the cold rate is not known yet")
+}
+
+// After a restart the target gets nothing before a health check names it.
+func TestGateRestored(t *testing.T) {
+	ga := NewGate(netip.MustParseAddrPort("127.0.0.1:1"), time.Now)
+	ga.Permit(Rules{})
+	ga.Restore(registrar.Instance{Heartbeat: heartbeat("a", 7), State: registrar.Ready})
+	_, rs := enter(ga, "a")
+	require.NotNil(t, rs)
+	assert.True(t, ga.Doubted())
+	assert.False(t, ga.Verify("b", 0))
+	assert.True(t, ga.Verify("a", 0))
+	_, rs = enter(ga, "a")
+	assert.Nil(t, rs)
+}
+
+// A request for an earlier incarnation runs at the one that took its place in
+// the same service, unless a rollout of its version is under way.
+func TestGateStandsIn(t *testing.T) {
+	ga := openGate()
+	_, rs := enter(ga, "earlier")
+	assert.Nil(t, rs)
+	ga.Permit(Rules{Guard: true})
+	_, rs = enter(ga, "earlier")
+	assert.NotNil(t, rs)
+	ga.Permit(Rules{})
+	rq := requestFor("earlier")
+	rq.route.Parts[0].Service = "ledger"
+	_, rs = ga.enter(context.Background(), rq, 0)
+	assert.NotNil(t, rs, "another service")
+}
+
+// A waiting request is refused at once when the target leaves, and leaves the
+// queue when its client does.
+func TestGateWaiting(t *testing.T) {
+	ga := openGate()
+	for range 2 {
+		_, rs := enter(ga, "a")
+		require.Nil(t, rs)
+	}
+	refused := make(chan *result)
+	go func() {
+		_, rs := enter(ga, "a")
+		refused <- rs
+	}()
+	waitFor(t, ga, 1)
+	ga.Depart("a")
+	assert.Equal(t, answerer.Draining, (<-refused).kind)
+
+	ga = openGate()
+	for range 2 {
+		_, rs := enter(ga, "a")
+		require.Nil(t, rs)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		_, rs := ga.enter(ctx, requestFor("a"), 0)
+		refused <- rs
+	}()
+	waitFor(t, ga, 1)
+	cancel()
+	assert.Equal(t, answerer.Cancelled, (<-refused).kind)
+	waitFor(t, ga, 0)
+}
+
+func waitFor(t *testing.T, ga *Gate, waiting int) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		_, count := ga.Busy()
+		return count == waiting
+	}, 10*time.Second, time.Millisecond)
+}
+
+// While a rollout is under way, a target that shows its version's fault gets
+// nothing more from its own node.
+func TestGateGuards(t *testing.T) {
+	ga := openGate()
+	ga.Permit(Rules{Guard: true})
+	for range 12 {
+		ga.saw(stager.Response{Route: "r", Failed: true})
+	}
+	_, rs := enter(ga, "a")
+	require.NotNil(t, rs)
+	total, _ := ga.Tallies()
+	assert.Equal(t, stager.Tally{Requests: 12, Bad: 12}, total["r"])
+}
+
+func TestLoadHeader(t *testing.T) {
+	re := &placer.Report{
+		Running: 3, Slots: 9, Work: 120 * time.Millisecond, Bad: 0.25,
+		Took: 80 * time.Millisecond,
+	}
+	re.Waits[2] = 40 * time.Millisecond
+	assert.Equal(t, re, decodeLoad(encodeLoad(re)))
+	for _, text := range []string{"", "1 2", "a 1 1 1 1 1 1 1 1", "-1 1 1 1 1 1 1 1 1"} {
+		assert.Nil(t, decodeLoad(text), text)
+	}
+}
+
+func TestHopHeader(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rq := &request{objective: now.Add(150 * time.Millisecond), inner: true, returning: true}
+	var got request
+	require.NoError(t, got.decodeHop(rq.encodeHop("t1", now), now))
+	assert.Equal(t, "t1", got.target)
+	assert.Equal(t, rq.objective, got.objective)
+	assert.True(t, got.inner && got.returning)
+	for _, text := range []string{"", "t1", "t1 x", "t1 1 i r"} {
+		assert.Error(t, got.decodeHop(text, now), text)
+	}
+}
+
+func FuzzDecodeHop(f *testing.F) {
+	f.Add("t1 150 ir")
+	f.Fuzz(func(_ *testing.T, text string) {
+		var rq request
+		_ = rq.decodeHop(text, time.Unix(1000, 0))
+		_ = decodeLoad(text)
+	})
+}
--- a/internal/carrier/last.go
+++ b/internal/carrier/last.go
@@ -83,7 +83,7 @@
 
 // runTarget sends an admitted request to the target and gives its slot back.
 func (ca *Carrier) runTarget(ctx context.Context, rq *request, pa *pass) *result {
-	if rs := ca.gate.recheck(pa.target); rs != nil {
+	if rs := ca.gate.recheck(rq, pa); rs != nil {
 		ca.gate.exit(pa, 0)
 		return rs
 	}
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -55,6 +55,16 @@
 	Parts []Part
 }
 
+// Has reports whether the service is one of the route's parts.
+func (ro *Route) Has(service string) bool {
+	for _, pa := range ro.Parts {
+		if pa.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
 // Part is one service's share of a route.
 type Part struct {
 	Service string
--- a/internal/meshrunner/keep.go
+++ b/internal/meshrunner/keep.go
@@ -26,6 +26,9 @@
 	// departed nodes, a second, and at idle connections, two seconds.
 	greetTicks = 4
 	sweepTicks = 8
+	// downAfter is the number of failed health checks after which other nodes are
+	// told that the target is down.
+	downAfter = 3
 	// gapTime is the time missing between two looks from which the node takes
 	// itself for one that was stopped.
 	gapTime = time.Second
@@ -41,7 +44,7 @@
 	defer ticker.Stop()
 	var probes sync.WaitGroup
 	defer probes.Wait()
-	last := bootTime()
+	last, failures := bootTime(), 0
 	for count := 0; ; count++ {
 		select {
 		case <-ctx.Done():
@@ -56,7 +59,11 @@
 		last = now
 		ru.restore()
 		if ru.gate.Doubted() {
-			ru.verify(ctx)
+			if ru.verify(ctx) {
+				failures = 0
+			} else if failures++; failures == downAfter {
+				ru.setDown(true)
+			}
 		}
 		due := ru.carrier.Unreached()
 		for _, node := range due {
@@ -144,22 +151,35 @@
 }
 
 // verify checks by a health check that the target is the one that is known, and
-// whether it is cold.
-func (ru *Runner) verify(ctx context.Context) {
+// whether it is cold. It reports whether it is.
+func (ru *Runner) verify(ctx context.Context) bool {
 	in := ru.gate.Current()
 	path := ru.healthPath(in.Service)
 	if path == "" {
-		return
+		return false
 	}
 	id, cold, err := ru.health(ctx, path)
 	if err != nil {
 		ru.Log.WithError(err).WithField("target", in.ID).Info("target not verified")
-		return
+		return false
 	}
 	ok := ru.gate.Verify(id, cold)
+	if ok {
+		ru.setDown(false)
+	}
 	ru.Log.WithFields(logrus.Fields{
 		"target": in.ID, "found": id, "coldMs": cold.Milliseconds(), "verified": ok,
 	}).Info("target verified")
+	return ok
+}
+
+// setDown tells other nodes whether the target can be used.
+func (ru *Runner) setDown(down bool) {
+	if ru.down.Swap(down) != down {
+		ru.Log.WithField("down", down).Info("target down")
+		ru.refresh()
+		ru.republish()
+	}
 }
 
 // healthPath returns the path of the service's health check, or "".
--- a/internal/meshrunner/member.go
+++ b/internal/meshrunner/member.go
@@ -26,7 +26,11 @@
 		ru.Malformed(he.ID, err)
 		return err
 	}
-	if ru.gate.Heartbeat(he) != registrar.Changed {
+	verdict := ru.gate.Heartbeat(he)
+	if verdict != registrar.Stale {
+		ru.setDown(false)
+	}
+	if verdict != registrar.Changed {
 		return nil
 	}
 	ru.Log.WithFields(logrus.Fields{
@@ -128,6 +132,7 @@
 	se := ru.settings.Load()
 	en := registrar.NewEntry(se.Nodes, se.DataCentre, ru.gate.Current())
 	en.NodeLeaving, en.Capacity = ru.leaving.Load(), se.Capacity
+	en.Down = ru.down.Load()
 	if en.Target == "" && !en.NodeLeaving {
 		return false, nil
 	}
--- a/internal/meshrunner/meshrunner.go
+++ b/internal/meshrunner/meshrunner.go
@@ -114,6 +114,8 @@
 
 	dirty   chan struct{}
 	leaving atomic.Bool
+	// down says that the own target fails its health checks.
+	down atomic.Bool
 }
 
 // New returns a node with checked settings.
--- a/internal/meshrunner/view.go
+++ b/internal/meshrunner/view.go
@@ -138,6 +138,7 @@
 	entries := ru.entries()
 	own := registrar.NewEntry(se.Nodes, se.DataCentre, ru.gate.Current())
 	own.NodeLeaving, own.Capacity = ru.leaving.Load(), se.Capacity
+	own.Down = ru.down.Load()
 	entries = append(entries, &own)
 
 	vi := &carrier.View{
--- a/internal/registrar/directory.go
+++ b/internal/registrar/directory.go
@@ -27,6 +27,8 @@
 	Born     int64  `json:"born,omitempty"`
 	Sequence uint64 `json:"sequence,omitempty"`
 	Leaving  bool   `json:"leaving,omitempty"`
+	// Down says that the target does not answer health checks.
+	Down bool `json:"down,omitempty"`
 	// NodeLeaving says that the node is about to stop.
 	NodeLeaving bool `json:"nodeLeaving,omitempty"`
 }
@@ -67,7 +69,7 @@
 
 // Usable reports whether the target of the entry takes work.
 func (en *Entry) Usable() bool {
-	return en.Target != "" && !en.Leaving && !en.NodeLeaving
+	return en.Target != "" && !en.Leaving && !en.Down && !en.NodeLeaving
 }
 
 // Key returns the key that the entry is published under.
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -79,6 +79,8 @@
 	require.NoError(t, err)
 	assert.Equal(t, &en, got)
 	assert.False(t, got.Usable())
+	assert.True(t, (&Entry{Target: "a"}).Usable())
+	assert.False(t, (&Entry{Target: "a", Down: true}).Usable())
 	back := got.Instance()
 	assert.Equal(t, Leaving, back.State)
 	assert.True(t, back.Born.Equal(born))
