--- a/internal/meshrunner/meshrunner.go
+++ b/internal/meshrunner/meshrunner.go
@@ -79,7 +79,7 @@
 const (
 	// operatorWait is how long a read of the operator's topic waits, at the store
 	// or at the reader.
-	operatorWait = relayWait
+	operatorWait = readerWait
 	// operatorPause is the least time between two reads of it, so that changes in
 	// quick succession cost few calls; it is a quarter of the time within which a
 	// change has to be in force.
--- a/internal/meshrunner/relay.go
+++ b/internal/meshrunner/relay.go
@@ -30,8 +30,10 @@
 	readerWait  = 700 * time.Millisecond
 	overdueTime = time.Second
 	// relayWait bounds the wait at the reader, relaySlack its answer beyond that.
-	relayWait  = 1200 * time.Millisecond
-	relaySlack = 300 * time.Millisecond
+	// A reader that is frozen is given up early enough to read a slow store in
+	// time.
+	relayWait  = 600 * time.Millisecond
+	relaySlack = 250 * time.Millisecond
 	// relayRest is how long a node reads the store itself after the reader said
 	// that it cannot help.
 	relayRest = 700 * time.Millisecond
