Do not ask across data centres what would be refused there

The first node applies the gate's own bound to reports younger than 0.2 s. Ruled out: the same inside a data centre, where asking is cheap and the answer newer than the report.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -147,7 +147,7 @@
 		re.Work = qu.Work()
 	}
 	ti := &Ticket[T]{Request: re, Value: value, number: qu.numbers}
-	ti.patience = now.Add(time.Duration(latePart * float64(re.Usual)))
+	ti.patience = patience(re, now)
 	if len(qu.waiting) == 0 && qu.free(now) {
 		qu.start(ti, now)
 		return ti, Admitted, Change[T]{}
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -156,3 +156,23 @@
 	assert.Len(t, qu.Clear(), 1)
 	assert.Zero(t, qu.Len())
 }
+
+// A node that knows a target's wait finds the same bound as the target's queue.
+func TestLatestStart(t *testing.T) {
+	for _, re := range []Request{
+		request(First, epoch),
+		{Objective: epoch, Usual: 400 * time.Millisecond, Deadline: at(1500), Work: 100},
+		{Objective: at(400), Usual: 400 * time.Millisecond, Deadline: at(120),
+			Work: 100 * time.Millisecond},
+	} {
+		qu, _ := fill()
+		wait := LatestStart(re, epoch).Sub(epoch)
+		qu.runningWork = wait
+		_, verdict, _ := qu.Offer(re, 0, epoch)
+		assert.Equal(t, Waiting, verdict)
+		qu.Clear()
+		qu.runningWork = wait + time.Millisecond
+		_, verdict, _ = qu.Offer(re, 0, epoch)
+		assert.Equal(t, Refused, verdict)
+	}
+}
--- a/internal/admitter/wait.go
+++ b/internal/admitter/wait.go
@@ -89,6 +89,18 @@
 	return max(qu.Wait(rank, now), minRetryAfter)
 }
 
+// LatestStart is the latest expected start at which a request that comes now is
+// let wait.
+func LatestStart(re Request, now time.Time) time.Time {
+	ti := Ticket[struct{}]{Request: re, patience: patience(re, now)}
+	return ti.latestStart()
+}
+
+// patience is until when a request waits even if it is late.
+func patience(re Request, now time.Time) time.Time {
+	return now.Add(time.Duration(latePart * float64(re.Usual)))
+}
+
 // latestStart is the latest expected start at which a request is let wait: one
 // that meets the objective, or soon for a request that cannot meet it. Longer
 // waits would make all requests late while the overload lasts.
--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -236,12 +236,25 @@
 		}
 		return ch, refusal(answerer.NoTarget, "the service has no usable target", 0)
 	}
-	if ch.Age >= 0 && ch.Age < freshReport && now.Add(ch.Wait).After(jo.rq.deadline) {
+	if ch.Age >= 0 && ch.Age < freshReport && now.Add(ch.Wait).After(jo.latest(ch, now)) {
 		return ch, refusal(answerer.Overloaded, "no target has room in time", ch.Wait)
 	}
 	return ch, nil
 }
 
+// latest is the latest start for which a target is worth asking. Across data
+// centres it is what the target's gate would accept, because a refusal there
+// costs the bytes of the request.
+func (jo *journey) latest(ch placer.Choice, now time.Time) time.Time {
+	if ch.Target.DataCentre == jo.config.DataCentre {
+		return jo.rq.deadline
+	}
+	jo.mu.Lock()
+	work := jo.placer.Work(jo.rq.route.Name)
+	jo.mu.Unlock()
+	return admitter.LatestStart(jo.rq.forQueue(work), now)
+}
+
 // candidates returns the targets that the request may go to.
 func (jo *journey) candidates() []placer.Target {
 	ve := jo.view.Versions[jo.part.Service]
