--- a/cmd/guavastall/sidecar.go
+++ b/cmd/guavastall/sidecar.go
@@ -61,6 +61,10 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	defer signal.Stop(signals)
+	requests := logkeeper.NewRequests(log)
+	registry := metrics.NewRegistry()
+	metrics.NewRegisteredFunctionalGauge("log.droppedLines", registry, writer.Dropped)
+	metrics.NewRegisteredFunctionalGauge("log.skippedLines", registry, requests.Skipped)
 	store := platform.NewStore(se.Store)
 	return meshrunner.New(se, meshrunner.Parts{
 		Decoder: platform.Operator{}, Names: platform.Headers(),
@@ -68,7 +72,6 @@
 		Control: func(ru *meshrunner.Runner) http.Handler { return platform.Control(ru) },
 		Ready:   func(ru *meshrunner.Runner) http.Handler { return platform.Ready(ru) },
 		Reload:  platform.LoadSettings,
-		Log:     log, Events: logkeeper.NewRequests(log),
-		Metrics: metrics.NewRegistry(), Now: time.Now,
+		Log:     log, Events: requests, Metrics: registry, Now: time.Now,
 	}).Run(signals)
 }
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -94,8 +94,6 @@
 	Self       netip.AddrPort
 	DataCentre string
 	Names      Names
-	// Target is the address of the target next to the node.
-	Target netip.AddrPort
 	// Budget bounds repeated requests to a service.
 	Budget budgeter.Config
 	// Caller returns the service that runs on this VM.
--- a/internal/meshrunner/meshrunner.go
+++ b/internal/meshrunner/meshrunner.go
@@ -132,7 +132,7 @@
 	ru.peers = &peers{runner: ru, heard: map[netip.AddrPort]time.Time{}}
 	ru.gate = carrier.NewGate(se.Target, pa.Now)
 	ru.carrier = carrier.New(carrier.Config{
-		Self: se.Nodes, DataCentre: se.DataCentre, Names: pa.Names, Target: se.Target,
+		Self: se.Nodes, DataCentre: se.DataCentre, Names: pa.Names,
 		Budget: se.Budget, Now: pa.Now,
 		Caller: func() string { return ru.settings.Load().Service },
 	}, ru.gate, pa.Events, pa.Metrics)
