Take a quantile for the usual time of a route's clients

Cause, found by reading: the usual time was the longest that any client ever came with. One client that asks for an hour would have made all others of its route look late and returned, for as long as the process lives.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -117,7 +117,7 @@
 	splitter matcher.Splitter
 	budgets  map[string]*budgeter.Budget
 	versions map[string]float64
-	longest  map[string]time.Duration
+	usual    map[string]time.Duration
 	work     map[string]time.Duration
 
 	poolsMu sync.Mutex
@@ -135,7 +135,7 @@
 		placer:   placer.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		budgets:  map[string]*budgeter.Budget{},
 		versions: map[string]float64{},
-		longest:  map[string]time.Duration{},
+		usual:    map[string]time.Duration{},
 		work:     map[string]time.Duration{},
 		pools:    map[netip.AddrPort]*pool{},
 	}
@@ -165,7 +165,7 @@
 func (ca *Carrier) Unreached() []netip.AddrPort {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	return ca.placer.Resting(ca.config.Now())
+	return ca.placer.Due(ca.config.Now())
 }
 
 // Reachable reports whether nothing speaks against reaching the node.
--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -32,17 +32,16 @@
 // journey is a request on its way through the first node.
 type journey struct {
 	*Carrier
-	rq       *request
-	view     *View
-	part     matcher.Part
-	next     bool
-	tried    []string
-	placed   int
-	detours  int
-	reached  int
-	last     *result
-	soonest  time.Duration
-	lastNode string
+	rq      *request
+	view    *View
+	part    matcher.Part
+	next    bool
+	tried   []string
+	placed  int
+	detours int
+	reached int
+	last    *result
+	soonest time.Duration
 }
 
 // Clients returns the handler for clients and for the target next to the node.
@@ -118,15 +117,36 @@
 	rq.deadline = rq.arrived.Add(min(left, rq.route.Timeout))
 }
 
-// usualTime returns the longest time that clients of the route came with.
+// usualTime returns the time that clients of the route usually come with.
 func (ca *Carrier) usualTime(route string, left time.Duration) time.Duration {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	usual := max(ca.longest[route], left)
-	ca.longest[route] = usual
+	usual := follow(ca.usual[route], left)
+	ca.usual[route] = usual
 	return usual
 }
 
+const (
+	// usualQuantile is the quantile of clients' times that counts as usual: most
+	// clients come for the first time, and single ones may ask for any time.
+	usualQuantile = 0.75
+	// usualStep is how far one request moves the quantile, as a part of it.
+	usualStep = 0.02
+)
+
+// follow moves the estimate of the quantile by one sample; zero is no estimate.
+func follow(usual, left time.Duration) time.Duration {
+	step := usualStep * float64(usual)
+	switch {
+	case usual == 0:
+		return left
+	case left >= usual:
+		return min(left, usual+time.Duration(usualQuantile*step))
+	default:
+		return max(left, usual-time.Duration((1-usualQuantile)*step))
+	}
+}
+
 // run makes attempts until one settles the request.
 func (jo *journey) run(ctx context.Context) *result {
 	now := jo.config.Now()
@@ -287,7 +307,6 @@
 func (jo *journey) attempt(ctx context.Context, ch placer.Choice) *result {
 	jo.tried = append(jo.tried, ch.Target.ID)
 	jo.rq.target = ch.Target.ID
-	jo.lastNode = ch.Target.Node.Addr().String()
 	jo.mu.Lock()
 	jo.placer.Begin(ch.Target.ID)
 	jo.mu.Unlock()
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -318,8 +318,8 @@
 	delete(pl.nodes, node)
 }
 
-// Resting returns the unreachable nodes whose rest is over; they need a probe.
-func (pl *Placer) Resting(now time.Time) []netip.AddrPort {
+// Due returns the unreachable nodes whose rest is over; they need a probe.
+func (pl *Placer) Due(now time.Time) []netip.AddrPort {
 	var due []netip.AddrPort
 	for node, re := range pl.nodes {
 		if !now.Before(re.until) {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -108,8 +108,8 @@
 	targets := []Target{target(1, "a"), target(2, "b")}
 	pl.Unreachable(node(1), epoch)
 	assert.Equal(t, "t2", pick(t, pl, targets, request(), epoch))
-	assert.Empty(t, pl.Resting(epoch))
-	assert.Equal(t, []netip.AddrPort{node(1)}, pl.Resting(epoch.Add(firstRest)))
+	assert.Empty(t, pl.Due(epoch))
+	assert.Equal(t, []netip.AddrPort{node(1)}, pl.Due(epoch.Add(firstRest)))
 	pl.Unreachable(node(2), epoch)
 	_, ok := pl.Pick(targets, request(), epoch)
 	assert.False(t, ok, "a request would wait for a connection in vain")
