Let each step of a rollout last; more candidates to lead it

Each step now lasts at least 0.08 of the duration, a rollout still at its first step after 0.6 of it is rolled back, and five nodes may lead. Ruled out: the evidence; it was gathered and showed nothing yet. The test fails on the code before.

--- a/internal/meshrunner/promote.go
+++ b/internal/meshrunner/promote.go
@@ -23,7 +23,7 @@
 	promotePeriod = 600 * time.Millisecond
 	// leaders is the number of nodes that may lead a rollout, one after another
 	// as those before do not answer.
-	leaders = 3
+	leaders = 5
 	// conflictTries bounds the attempts at a conditional append in one look.
 	conflictTries = 3
 )
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -78,9 +78,12 @@
 	minBase = 20
 	// minRequests is the evidence that the first step needs.
 	minRequests = 20
-	// giveUp is the part of the duration after which a rollout without enough
-	// evidence is rolled back.
-	giveUp = 0.75
+	// dwell is the part of the duration that each step lasts at least, so that
+	// its share is seen at work even if nobody led the rollout for a while.
+	dwell = 0.08
+	// giveUp is the part of the duration after which a rollout that is still at
+	// its first step is rolled back: the time left does not suffice for the others.
+	giveUp = 0.6
 )
 
 // Share returns the share of the service's requests for the new version.
@@ -134,22 +137,21 @@
 	if reason, bad := faulty(fresh, base); bad {
 		return finish(mo, RolledBack, elapsed, reason), true
 	}
-	progress := float64(elapsed) / float64(max(or.Duration, time.Second))
-	total := Sum(fresh.Total)
+	duration := float64(max(or.Duration, time.Second))
+	progress := float64(elapsed) / duration
+	lasted := float64(elapsed-mo.Elapsed) / duration
 	if mo.Full() {
-		if base.Running == 0 && !missing && progress > settled ||
-			progress > steps[len(steps)-1].until {
+		moved := base.Running == 0 && !missing && progress > settled
+		if lasted >= dwell && (moved || progress > steps[len(steps)-1].until) {
 			return finish(mo, Complete, elapsed, "all traffic moved"), true
 		}
 		return mo, false
 	}
-	if progress < steps[mo.Step].until {
-		return mo, false
+	if mo.Step == 0 && progress > giveUp {
+		return finish(mo, RolledBack, elapsed, "too little evidence in time"), true
 	}
-	if fresh.Targets == 0 || total.Requests < minRequests {
-		if progress > giveUp {
-			return finish(mo, RolledBack, elapsed, "too little evidence in time"), true
-		}
+	if progress < steps[mo.Step].until || lasted < dwell ||
+		fresh.Targets == 0 || Sum(fresh.Total).Requests < minRequests {
 		return mo, false
 	}
 	mo.Step++
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -170,6 +170,23 @@
 	assert.Equal(t, Complete, done.State)
 }
 
+// A rollout that nobody led for a while neither skips a step nor is rushed.
+func TestGapOfLeaders(t *testing.T) {
+	or := order()
+	good := Evidence{Targets: 3, Total: map[string]Tally{"scan": {Requests: 40}}}
+	mo, changed := Decide(move(), or, 7*time.Second, good, good, false)
+	assert.True(t, changed)
+	assert.Equal(t, 1, mo.Step)
+	_, changed = Decide(mo, or, 7*time.Second+100*time.Millisecond, good, good, false)
+	assert.False(t, changed, "the step has not been seen at work")
+	next, changed := Decide(mo, or, 9*time.Second, good, good, false)
+	assert.True(t, changed)
+	assert.Equal(t, 2, next.Step)
+	late, changed := Decide(move(), or, 11*time.Second, good, good, false)
+	assert.True(t, changed)
+	assert.Equal(t, RolledBack, late.State, "too late to move in steps")
+}
+
 func TestSlowResponsesAreBad(t *testing.T) {
 	for name, tc := range map[string]struct {
 		re  Response
