Sort a queue once for each look; drop a wrapper

Advance sorted the waiting requests and evict sorted them again; the callers sort now. Carrier.Evidence only passed the gate's tallies on. An order's service is set in one place. No change of behaviour; linter and tests of the packages and of the whole path passed.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -162,6 +162,7 @@
 		return ti, Refused, Change[T]{}
 	}
 	qu.waiting = append(qu.waiting, ti)
+	qu.sort(now)
 	return ti, Waiting, Change[T]{Refused: qu.evict(now)}
 }
 
@@ -230,9 +231,9 @@
 	return qu.running < qu.slots && qu.coldWait(0, now) == 0
 }
 
-// evict removes the waiting requests that are not expected to start in time.
+// evict removes the waiting requests, in order, that are not expected to start
+// in time.
 func (qu *Queue[T]) evict(now time.Time) []*Ticket[T] {
-	qu.sort(now)
 	var out []*Ticket[T]
 	var ahead backlog
 	kept := qu.waiting[:0]
--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -14,7 +14,6 @@
 	"github.com/guavastall/guavastall/internal/matcher"
 	"github.com/guavastall/guavastall/internal/placer"
 	"github.com/guavastall/guavastall/internal/retrier"
-	"github.com/guavastall/guavastall/internal/stager"
 )
 
 const (
@@ -454,9 +453,3 @@
 	delete(re.header, headerLoad)
 	return &result{outcome: retrier.Answered, response: re, reached: true, report: report}
 }
-
-// Evidence returns what the gate has seen of its target, for the rollout of its
-// version.
-func (ca *Carrier) Evidence() (total, recent map[string]stager.Tally) {
-	return ca.gate.Tallies()
-}
--- a/internal/meshrunner/peers.go
+++ b/internal/meshrunner/peers.go
@@ -114,7 +114,7 @@
 	in := ru.gate.Current()
 	running, waiting := ru.gate.Busy()
 	ev := evidence{Service: in.Service, Version: in.Version, Busy: running + waiting}
-	ev.Total, ev.Recent = ru.carrier.Evidence()
+	ev.Total, ev.Recent = ru.gate.Tallies()
 	return ev
 }
 
--- a/internal/meshrunner/view.go
+++ b/internal/meshrunner/view.go
@@ -76,14 +76,11 @@
 		return
 	}
 	or, err := ru.DecodeRollout(rc.Value)
-	if err == nil && or.Service != service {
-		or.Service = service
-	}
 	if err != nil {
 		ru.Log.WithError(err).WithField("service", service).Warn("rollout order rejected")
 		return
 	}
-	or.Number = rc.Offset
+	or.Service, or.Number = service, rc.Offset
 	ru.orders[service] = or
 	ru.Log.WithFields(logrus.Fields{
 		"service": service, "version": or.Version, "duration": or.Duration.String(),
