Let readers stand in for each other; keep their contact fresh

Rest and wait share the 0.7 s now (TestPaceKeepsContact). - A reader without a usable target lost its mark as unreachable with each new view, so that a dead one was asked again after every change (TestViewKeepsUnreachableNodes). - A reader that the store turns away sent everyone to the store. Ruled out: a longer wait at the store (TestNewsInTime bounds it).

--- a/cmd/guavastall/sidecar.go
+++ b/cmd/guavastall/sidecar.go
@@ -65,7 +65,7 @@
 	registry := metrics.NewRegistry()
 	metrics.NewRegisteredFunctionalGauge("log.droppedLines", registry, writer.Dropped)
 	metrics.NewRegisteredFunctionalGauge("log.skippedLines", registry, requests.Skipped)
-	store := platform.NewStore(se.Store)
+	store := platform.NewStore(se.Store, log)
 	return meshrunner.New(se, meshrunner.Parts{
 		Decoder: platform.Operator{}, Names: platform.Headers(),
 		Operator: store.Operator(), Mesh: store.Mesh(), Status: store.Status(),
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -64,8 +64,9 @@
 	Canaries map[string]map[string]bool
 	// Out are the data centres that operators have taken out.
 	Out map[string]bool
-	// Nodes is the number of nodes that share budgets.
-	Nodes int
+	// Nodes are the known nodes, with a usable target or without; they share
+	// budgets.
+	Nodes []netip.AddrPort
 }
 
 // Event is a decision for the log.
@@ -147,9 +148,11 @@
 	for _, list := range vi.Targets {
 		for nn := range list {
 			targets[list[nn].ID] = true
-			nodes[list[nn].Node] = true
 		}
 	}
+	for _, node := range vi.Nodes {
+		nodes[node] = true
+	}
 	ca.mu.Lock()
 	ca.placer.Keep(targets, nodes)
 	ca.mu.Unlock()
--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -375,7 +375,7 @@
 		return false
 	}
 	jo.mu.Lock()
-	allowed := jo.budget(jo.part.Service).Take(jo.view.Nodes, now)
+	allowed := jo.budget(jo.part.Service).Take(len(jo.view.Nodes), now)
 	jo.mu.Unlock()
 	jo.event(true, "repeat", jo.rq, func() map[string]any {
 		return map[string]any{
--- a/internal/carrier/first_test.go
+++ b/internal/carrier/first_test.go
@@ -1,9 +1,11 @@
 package carrier
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 )
 
@@ -41,3 +43,17 @@
 	}
 	assert.Equal(t, 1500*time.Millisecond, usual)
 }
+
+// A node that cannot be reached stays so when the view changes, also if its
+// target is not in use; otherwise the dead reader of a data centre is asked again
+// after every change.
+func TestViewKeepsUnreachableNodes(t *testing.T) {
+	dead := netip.MustParseAddrPort("127.0.0.1:9")
+	ca := New(Config{Now: time.Now}, openGate(), nil, metrics.NewRegistry())
+	ca.SetView(&View{Nodes: []netip.AddrPort{dead}})
+	ca.Probed(dead, false)
+	ca.SetView(&View{Nodes: []netip.AddrPort{dead}})
+	assert.False(t, ca.Reachable(dead))
+	ca.SetView(&View{})
+	assert.True(t, ca.Reachable(dead), "a node that is gone is forgotten")
+}
--- a/internal/meshrunner/keep.go
+++ b/internal/meshrunner/keep.go
@@ -90,7 +90,7 @@
 // it knows no other node until one says hello.
 func (ru *Runner) departed() []netip.AddrPort {
 	se := ru.settings.Load()
-	if ru.reader() != se.Nodes {
+	if first := ru.readers(); len(first) == 0 || first[0] != se.Nodes {
 		return nil
 	}
 	var gone []netip.AddrPort
--- a/internal/meshrunner/meshrunner.go
+++ b/internal/meshrunner/meshrunner.go
@@ -116,6 +116,10 @@
 	// decoded are the entries of the other nodes as of the last change.
 	decoded atomic.Pointer[[]*registrar.Entry]
 
+	// storeRead is when this node last read the operator's topic at the store, in
+	// Unix nanoseconds; others may rely on it for a while.
+	storeRead atomic.Int64
+
 	dirty   chan struct{}
 	leaving atomic.Bool
 	// down says that the own target fails its health checks.
@@ -142,14 +146,18 @@
 	}, ru.gate, pa.Events, pa.Metrics)
 	ru.operator = replicator.New(replicator.Config{
 		Topic: operatorTopic, Wait: operatorWait, Pause: operatorPause,
-		Changed: ru.operatorChanged, Lost: func() { ru.mesh.Kick() }, Log: pa.Log, Now: pa.Now,
+		Changed: ru.operatorChanged, Store: pa.Operator, Lost: func() { ru.mesh.Kick() }, Log: pa.Log, Now: pa.Now,
 	}, &relay{
 		Source: pa.Operator, runner: ru, topic: operatorTopic, storeWait: readerWait,
+		sourcing: newSourcing(),
 	}, ru.peers)
 	ru.mesh = replicator.New(replicator.Config{
-		Topic: meshTopic, Wait: meshWait, Pause: meshPause, Changed: ru.meshChanged, Log: pa.Log,
-		Now: pa.Now,
-	}, &relay{Source: pa.Mesh, runner: ru, topic: meshTopic, storeWait: meshWait}, ru.peers)
+		Topic: meshTopic, Wait: meshWait, Pause: meshPause, Changed: ru.meshChanged, Store: pa.Mesh,
+		Log: pa.Log, Now: pa.Now,
+	}, &relay{
+		Source: pa.Mesh, runner: ru, topic: meshTopic, storeWait: meshWait,
+		sourcing: newSourcing(),
+	}, ru.peers)
 	return ru
 }
 
--- a/internal/meshrunner/metrics.go
+++ b/internal/meshrunner/metrics.go
@@ -40,7 +40,7 @@
 	lines = append(lines, fmt.Sprintf("gate.running %d", running),
 		fmt.Sprintf("gate.waiting %d", waiting))
 	if vi := ru.carrier.View(); vi != nil {
-		lines = append(lines, fmt.Sprintf("mesh.nodes %d", vi.Nodes),
+		lines = append(lines, fmt.Sprintf("mesh.nodes %d", len(vi.Nodes)),
 			fmt.Sprintf("config.version %d", vi.Config.Version))
 	}
 	sort.Strings(lines)
--- a/internal/meshrunner/relay.go
+++ b/internal/meshrunner/relay.go
@@ -6,10 +6,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -19,9 +21,9 @@
 )
 
 // In each data centre one node reads the store and the others wait for news at
-// that node, so that the calls to the store do not grow with the fleet. A node
-// that gets no answer from the reader, or one that the store has not answered
-// lately, reads the store itself.
+// that node, so that the calls to the store do not grow with the fleet. Others
+// stand in when it cannot help. A node that gets no answer from any of them reads
+// the store itself.
 
 const (
 	// readerWait is how long a reader's read of the operator's topic waits, and
@@ -34,14 +36,11 @@
 	// time.
 	relayWait  = 600 * time.Millisecond
 	relaySlack = 250 * time.Millisecond
-	// relayRest is how long a node reads the store itself after the reader said
-	// that it cannot help.
-	relayRest = 700 * time.Millisecond
 )
 
-// reader returns the node of the own data centre that reads the store: one of
-// those with the most processing capacity.
-func (ru *Runner) reader() netip.AddrPort {
+// readers returns the nodes of the own data centre that may read the store for
+// the others, the first one first: of those with the most processing capacity.
+func (ru *Runner) readers() []netip.AddrPort {
 	se := ru.settings.Load()
 	best, nodes := se.Capacity, []netip.AddrPort{se.Nodes}
 	if ru.leaving.Load() {
@@ -58,23 +57,20 @@
 			nodes = append(nodes, en.Node)
 		}
 	}
-	return elector.Owner("reader", nodes)
+	return elector.Owners("reader", nodes, readers)
 }
 
 // errStoreLost spares a call to a store that does not answer another one.
 var errStoreLost = errors.New("the store does not answer")
 
-// relay is a topic that is read at the data centre's reader.
+// relay is a topic that is read at the data centre's readers.
 type relay struct {
 	replicator.Source
 	runner *Runner
 	topic  string
 	// storeWait bounds the wait of reads of the store.
 	storeWait time.Duration
-
-	mu sync.Mutex
-	// rest is until when the store is read without asking the reader.
-	rest time.Time
+	*sourcing
 }
 
 // Read implements [replicator.Source].
@@ -85,34 +81,60 @@
 	if re.topic == meshTopic && ru.operator.Lost() {
 		return replicator.Snapshot{}, errStoreLost
 	}
-	reader := ru.reader()
-	if wait == 0 || !reader.IsValid() || reader == ru.settings.Load().Nodes || re.resting() {
-		return re.Source.Read(ctx, from, min(wait, re.storeWait))
-	}
-	wait = min(wait, relayWait)
-	sn, err := re.ask(ctx, reader, from, wait)
-	if err == nil {
-		return sn, nil
-	}
-	if ctx.Err() != nil {
-		return sn, err
+	self, ranked := ru.settings.Load().Nodes, ru.readers()
+	for tried := 0; ; {
+		node, following := re.next(ranked, tried, self, ru.Now())
+		switch {
+		case !node.IsValid():
+			return replicator.Snapshot{}, errStoreLost
+		case node == self:
+			return re.readStore(ctx, from, wait)
+		}
+		tried = following
+		sn, err := re.ask(ctx, node, from, min(wait, relayWait))
+		if err == nil || ctx.Err() != nil {
+			return sn, err
+		}
+		wait = 0 // the time was spent at the reader
+		re.giveUp(node, err)
 	}
+}
+
+// Newest implements [replicator.Source]. It always asks the store.
+func (re *relay) Newest(ctx context.Context) (replicator.Snapshot, error) {
+	sn, err := re.Source.Newest(ctx)
+	re.answered(err)
+	return sn, err
+}
+
+// giveUp notes that a reader could not help.
+func (re *relay) giveUp(reader netip.AddrPort, err error) {
+	ru := re.runner
 	var dial *net.OpError
 	if errors.As(err, &dial) && dial.Op == "dial" {
 		ru.carrier.Probed(reader, false) // another node is the reader until it answers
 	}
-	re.mu.Lock()
-	re.rest = ru.Now().Add(relayRest)
-	re.mu.Unlock()
+	re.failed(reader, ru.Now())
 	ru.Log.WithError(err).WithField("topic", re.topic).WithField("node", reader.String()).
-		Info("reader does not answer; reading the store")
-	return re.Source.Read(ctx, from, 0)
+		Info("reader does not answer")
 }
 
-func (re *relay) resting() bool {
-	re.mu.Lock()
-	defer re.mu.Unlock()
-	return re.runner.Now().Before(re.rest)
+func (re *relay) readStore(
+	ctx context.Context, from uint64, wait time.Duration,
+) (replicator.Snapshot, error) {
+	sn, err := re.Source.Read(ctx, from, min(wait, re.storeWait))
+	re.answered(err)
+	return sn, err
+}
+
+// answered notes the outcome of a call to the store.
+func (re *relay) answered(err error) {
+	now := re.runner.Now()
+	ok := err == nil || errors.Is(err, replicator.ErrTrimmed)
+	re.called(ok, rand.Float64(), now)
+	if ok && re.topic == operatorTopic {
+		re.runner.storeRead.Store(now.UnixNano())
+	}
 }
 
 func (re *relay) ask(
@@ -137,7 +159,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if ru.reader() != ru.settings.Load().Nodes {
+	if !slices.Contains(ru.readers(), ru.settings.Load().Nodes) {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
@@ -162,7 +184,7 @@
 	for {
 		news := fo.News()
 		now := ru.Now()
-		fresh := ru.operator.Contact().Add(overdueTime).Sub(now)
+		fresh := time.Unix(0, ru.storeRead.Load()).Add(overdueTime).Sub(now)
 		if fresh <= 0 {
 			return false
 		}
--- a/internal/meshrunner/view.go
+++ b/internal/meshrunner/view.go
@@ -159,9 +159,12 @@
 
 	vi := &carrier.View{
 		Config: ru.config, Targets: map[string][]carrier.Target{},
-		Versions: map[string]stager.Versions{}, Out: map[string]bool{}, Nodes: len(entries),
+		Versions: map[string]stager.Versions{}, Out: map[string]bool{},
 		Canaries: map[string]map[string]bool{},
 	}
+	for _, en := range entries {
+		vi.Nodes = append(vi.Nodes, en.Node)
+	}
 	ru.operator.Each(func(rc replicator.Record) {
 		if dataCentre, ok := ru.Evacuation(rc.Key); ok {
 			vi.Out[dataCentre] = true
--- a/internal/replicator/follower.go
+++ b/internal/replicator/follower.go
@@ -60,6 +60,8 @@
 	Pause time.Duration
 	// Changed is called with the keys that changed.
 	Changed func(keys []string)
+	// Store is the store itself, for reads that must be up to date.
+	Store Source
 	// Lost, if set, is called when the store stops answering.
 	Lost func()
 	Log  *logrus.Logger
@@ -74,9 +76,7 @@
 	source Source
 	peers  Peers
 	lost   atomic.Bool
-	// contact is when the source last answered, in Unix nanoseconds.
-	contact atomic.Int64
-	kick    chan struct{}
+	kick   chan struct{}
 	// asked is when other nodes were last asked; only Run's goroutines use it.
 	asked time.Time
 }
@@ -91,9 +91,10 @@
 // Run follows the topic until the context ends, and closes done.
 func (fo *Follower) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
+	wait := fo.config.Wait
 	for ctx.Err() == nil {
 		began := fo.config.Now()
-		err := fo.wait(ctx)
+		err := fo.wait(ctx, wait)
 		pause := retryTime
 		for failures := 1; err != nil && ctx.Err() == nil; failures++ {
 			fo.note(err)
@@ -105,13 +106,26 @@
 			return
 		}
 		fo.note(nil)
-		sleep(ctx, fo.config.Pause-fo.config.Now().Sub(began))
+		var rest time.Duration
+		rest, wait = fo.config.pace(fo.config.Now().Sub(began))
+		sleep(ctx, rest)
 	}
 }
 
+// leastWait is the least time that a read waits for a record.
+const leastWait = 100 * time.Millisecond
+
+// pace returns how long to rest after a read that took a time, and how long the
+// next one waits for a record. Both together are no longer than Wait, because the
+// last answer tells others that the store answers this node.
+func (cf *Config) pace(took time.Duration) (rest, wait time.Duration) {
+	rest = max(min(cf.Pause-took, cf.Wait-leastWait), 0)
+	return rest, cf.Wait - rest
+}
+
 // wait reads the next records, which a kick cuts short.
-func (fo *Follower) wait(ctx context.Context) error {
-	wctx, cancel := context.WithTimeout(ctx, fo.config.Wait+answerTime)
+func (fo *Follower) wait(ctx context.Context, wait time.Duration) error {
+	wctx, cancel := context.WithTimeout(ctx, wait+answerTime)
 	defer cancel()
 	stop := make(chan struct{})
 	defer close(stop)
@@ -122,7 +136,7 @@
 		case <-stop:
 		}
 	}()
-	err := fo.step(wctx, fo.config.Wait)
+	err := fo.step(wctx, wait)
 	if err != nil && errors.Is(wctx.Err(), context.Canceled) && ctx.Err() == nil {
 		return fo.within(ctx, lostTime)
 	}
@@ -174,7 +188,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
-	sn, err := fo.source.Read(ctx, end, 0)
+	sn, err := fo.config.Store.Read(ctx, end, 0)
 	if err == nil {
 		fo.changed(fo.Append(sn.Records, sn.End), "store")
 	}
@@ -187,7 +201,6 @@
 	if primed {
 		sn, err := fo.source.Read(ctx, end, wait)
 		if err == nil {
-			fo.contact.Store(fo.config.Now().UnixNano())
 			fo.changed(fo.Append(sn.Records, sn.End), "store")
 			return nil
 		}
@@ -199,16 +212,10 @@
 	if err != nil {
 		return err
 	}
-	fo.contact.Store(fo.config.Now().UnixNano())
 	fo.changed(fo.Reset(sn), "store")
 	return nil
 }
 
-// Contact returns when the source last answered.
-func (fo *Follower) Contact() time.Time {
-	return time.Unix(0, fo.contact.Load())
-}
-
 func (fo *Follower) askPeers(ctx context.Context) {
 	now := fo.config.Now()
 	if now.Sub(fo.asked) < peersPeriod {
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -248,3 +248,16 @@
 	_, primed := fo.End()
 	assert.True(t, primed)
 }
+
+// After news at once, the rest and the next wait together leave the last answer
+// no older than Wait; otherwise all nodes of a data centre turn to the store after
+// each change.
+func TestPaceKeepsContact(t *testing.T) {
+	cf := Config{Wait: 700 * time.Millisecond, Pause: 500 * time.Millisecond}
+	for took := time.Duration(0); took < time.Second; took += 50 * time.Millisecond {
+		rest, wait := cf.pace(took)
+		assert.LessOrEqual(t, rest+wait, cf.Wait, "a read of %s", took)
+		assert.GreaterOrEqual(t, wait, leastWait, "a read of %s", took)
+		assert.GreaterOrEqual(t, rest+took, cf.Pause, "a read of %s", took)
+	}
+}
