Publish an entry once while the replica is behind

Cause: a node whose replica did not hold its last record yet took the older one for a replacement and published again. Ruled out: heartbeats (the entries were equal but for the revision).

--- a/internal/meshrunner/member.go
+++ b/internal/meshrunner/member.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavastall/guavastall/internal/registrar"
+	"github.com/guavastall/guavastall/internal/replicator"
 )
 
 // Heartbeat takes a heartbeat of the own target. The error says why it was not
@@ -71,6 +72,16 @@
 	incarnation int64
 	value       []byte
 	entry       registrar.Entry
+	// offset is that of the record.
+	offset uint64
+}
+
+// stands reports whether the entry is published, given the newest record of its
+// key that is known. A record before the published one only shows that the replica
+// is behind; a later one replaced it, such as an earlier append that took effect
+// late.
+func (pu *publication) stands(en registrar.Entry, rc replicator.Record) bool {
+	return en == pu.entry && (rc.Offset <= pu.offset || bytes.Equal(rc.Value, pu.value))
 }
 
 const (
@@ -146,7 +157,7 @@
 	en.Incarnation = pu.incarnation
 	// What heartbeats change beyond the state is of no use to other nodes.
 	en.Revision, en.Sequence = pu.entry.Revision, pu.entry.Sequence
-	if en == pu.entry && (!present || bytes.Equal(rc.Value, pu.value)) {
+	if pu.stands(en, rc) {
 		ru.mu.Unlock()
 		return false, nil
 	}
@@ -159,11 +170,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, publishTime)
 	defer cancel()
-	if _, err := ru.Mesh.Append(ctx, key, value, nil); err != nil {
+	end, err := ru.Mesh.Append(ctx, key, value, nil)
+	if err != nil {
 		return true, err
 	}
 	ru.mu.Lock()
-	ru.published.entry, ru.published.value = en, value
+	ru.published.entry, ru.published.value, ru.published.offset = en, value, end-1
 	ru.mu.Unlock()
 	ru.Log.WithFields(logrus.Fields{
 		"target": en.Target, "leaving": en.Leaving, "nodeLeaving": en.NodeLeaving,
