Spend the retry budget on last tries, and count calls of repeated runs

A run's calls are counted now: by the node beside its target while it runs, as an average by route in responses between nodes, and a repeat costs one and its expected calls. That allows 0.85 of the budget.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -21,12 +21,28 @@
 const (
 	// buckets is the number of parts of the window.
 	buckets = 20
-	// caution is the part of the budget that a node uses. The rest covers the
-	// calls of repeated runs, which count as repeats at the services that they
-	// call, and the edges of windows.
-	caution = 0.35
+	// caution is the part of the budget that a node uses. The rest covers what it
+	// does not count: repeats by earlier processes of restarted nodes, and the edges
+	// of windows.
+	caution = 0.85
+	// reserve is the part of the usable budget that is kept for requests whose
+	// client does not come back: the others have another try of their own.
+	reserve = 0.5
+	// unknownCalls stands for the calls of a run where none has been seen yet.
+	unknownCalls = 2.0
 )
 
+// Repeat is a request that is to be sent once more.
+type Repeat struct {
+	// Nodes is the number of nodes that share the allowance.
+	Nodes int
+	// Calls is the expected number of calls that the run makes itself; they count
+	// as repeats at the services that they go to. It is negative if unknown.
+	Calls float64
+	// Last says that nobody repeats the request if this node does not.
+	Last bool
+}
+
 type bucket struct {
 	number            int64
 	requests, repeats float64
@@ -49,9 +65,11 @@
 	bu.at(now).requests++
 }
 
-// Take takes a repeat out of the budget and reports whether it held one. The
-// allowance is shared by the number of nodes.
-func (bu *Budget) Take(nodes int, now time.Time) bool {
+// Take takes a repeat out of the budget and reports whether it held one. It
+// answers targets that shed or fail a part of their requests: while there is
+// more to repeat than the budget allows, its last part goes to requests that
+// have no other try.
+func (bu *Budget) Take(re Repeat, now time.Time) bool {
 	var requests, repeats float64
 	newest := bu.number(now)
 	for nn := range bu.buckets {
@@ -60,16 +78,24 @@
 			repeats += bu.buckets[nn].repeats
 		}
 	}
-	share := bu.config.Allowance / float64(max(nodes, 1))
-	if repeats+1 > caution*(bu.config.Ratio*requests+share) {
+	usable := caution * (bu.config.Ratio*requests + bu.config.Allowance/float64(max(re.Nodes, 1)))
+	if !re.Last {
+		usable *= 1 - reserve
+	}
+	calls := re.Calls
+	if calls < 0 {
+		calls = unknownCalls
+	}
+	if repeats+1+calls > usable {
 		return false
 	}
-	bu.at(now).repeats++
+	bu.at(now).repeats += 1 + calls
 	return true
 }
 
-// Repeat counts a repeat that was not asked for, such as a target's refusal.
-func (bu *Budget) Repeat(now time.Time) {
+// Spend counts a repeat that was not asked for, such as a call that a repeated run
+// makes.
+func (bu *Budget) Spend(now time.Time) {
 	bu.at(now).repeats++
 }
 
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -120,6 +120,8 @@
 	versions map[string]float64
 	usual    map[string]time.Duration
 	work     map[string]time.Duration
+	// calls is the average number of calls that a run of a route makes.
+	calls map[string]float64
 
 	poolsMu sync.Mutex
 	pools   map[netip.AddrPort]*pool
@@ -138,6 +140,7 @@
 		versions: map[string]float64{},
 		usual:    map[string]time.Duration{},
 		work:     map[string]time.Duration{},
+		calls:    map[string]float64{},
 		pools:    map[netip.AddrPort]*pool{},
 	}
 }
--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -104,7 +104,9 @@
 		left = rq.deadline.Sub(rq.arrived)
 	}
 	if end := strings.LastIndexByte(rq.id, '.'); end > 0 {
-		rq.inner = ca.gate.Runs(rq.id[:end])
+		var parent run
+		parent, rq.inner = ca.gate.callOf(rq.id[:end])
+		rq.repeat, rq.returning = parent.repeat, parent.returning
 	}
 	// The objective counts from the client's first attempt.
 	usual := ca.usualTime(rq.route.Name, left)
@@ -196,7 +198,11 @@
 	jo.mu.Lock()
 	defer jo.mu.Unlock()
 	jo.part = jo.splitter.Next(jo.rq.route)
-	jo.budget(jo.part.Service).Request(now)
+	if jo.rq.repeat {
+		jo.budget(jo.part.Service).Spend(now)
+	} else {
+		jo.budget(jo.part.Service).Request(now)
+	}
 	ve := jo.view.Versions[jo.part.Service]
 	if ve.Next == "" {
 		delete(jo.versions, jo.part.Service)
@@ -316,6 +322,9 @@
 		rs = jo.runRemote(ctx, ch.Target)
 	}
 	jo.note(ch.Target, rs)
+	if rs.report != nil && rs.reached && ch.Target.Node != jo.config.Self {
+		jo.sawCalls(jo.rq.route.Name, rs.report.Calls)
+	}
 	return rs
 }
 
@@ -374,13 +383,19 @@
 	if jo.reached >= jo.rq.route.Attempts || now.Add(work).After(jo.rq.deadline) {
 		return false
 	}
+	re := budgeter.Repeat{
+		Nodes: len(jo.view.Nodes), Calls: jo.expectedCalls(jo.rq.route.Name),
+		Last: jo.rq.returning,
+	}
 	jo.mu.Lock()
-	allowed := jo.budget(jo.part.Service).Take(len(jo.view.Nodes), now)
+	allowed := jo.budget(jo.part.Service).Take(re, now)
 	jo.mu.Unlock()
+	jo.rq.repeat = true
 	jo.event(true, "repeat", jo.rq, func() map[string]any {
 		return map[string]any{
 			"allowed": allowed, "outcome": rs.outcome.String(), "kind": rs.kind.String(),
 			"target": jo.rq.target, "attempt": jo.reached, "service": jo.part.Service,
+			"last": re.Last, "calls": re.Calls,
 		}
 	})
 	return allowed
--- a/internal/carrier/gate.go
+++ b/internal/carrier/gate.go
@@ -61,8 +61,8 @@
 	guard bool
 	bad   float64
 	wake  *time.Timer
-	// runs counts the requests that the target works on, by ID.
-	runs map[string]int
+	// runs are the requests that the target works on, by ID.
+	runs map[string]*run
 }
 
 // NewGate returns a gate for the target at the address.
@@ -71,7 +71,7 @@
 	po.maxIdle = maxIdle
 	ga := &Gate{
 		now: now, pool: po, queue: admitter.New[*waiter](1),
-		collector: stager.NewCollector(), runs: map[string]int{},
+		collector: stager.NewCollector(), runs: map[string]*run{},
 	}
 	ga.wake = time.AfterFunc(time.Hour, ga.advance)
 	ga.wake.Stop()
@@ -301,20 +301,47 @@
 	return admitter.RankOf(rq.inner, priority)
 }
 
-// Runs reports whether the target works on the request with the ID.
-func (ga *Gate) Runs(id string) bool {
+// run is a request that the target works on.
+type run struct {
+	// repeat says that an earlier target had the request.
+	repeat bool
+	// returning says that its client was refused before.
+	returning bool
+	// calls is the number of calls that the target has made for it.
+	calls int
+}
+
+// callOf returns the run that the target makes a call for, and whether there is
+// one with the ID. It counts the call.
+func (ga *Gate) callOf(id string) (run, bool) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ru := ga.runs[id]
+	if ru == nil {
+		return run{}, false
+	}
+	ru.calls++
+	return *ru, true
+}
+
+// begin notes that the target works on the request.
+func (ga *Gate) begin(rq *request) *run {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	return ga.runs[id] > 0
+	ru := &run{repeat: rq.repeat, returning: rq.returning}
+	ga.runs[rq.id] = ru
+	return ru
 }
 
-// mark counts a request in or out of those that the target works on.
-func (ga *Gate) mark(id string, change int) {
+// end notes that the target no longer works on the request, and returns the
+// number of its calls.
+func (ga *Gate) end(rq *request, ru *run) int {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	if ga.runs[id] += change; ga.runs[id] <= 0 {
-		delete(ga.runs, id)
+	if ga.runs[rq.id] == ru {
+		delete(ga.runs, rq.id)
 	}
+	return ru.calls
 }
 
 // closed returns a refusal if the target takes no requests now.
--- a/internal/carrier/last.go
+++ b/internal/carrier/last.go
@@ -75,6 +75,7 @@
 	started := ca.config.Now()
 	rs = ca.runTarget(ctx, rq, pa)
 	rs.report = ca.gate.load()
+	rs.report.Calls = max(ca.expectedCalls(rq.routeName()), 0)
 	if rs.outcome == retrier.Answered {
 		rs.report.Took = ca.config.Now().Sub(started)
 	}
@@ -94,8 +95,7 @@
 		ca.gate.exit(pa, 0)
 		return refusal(answerer.DeadlineExceeded, "no time left at the target", 0)
 	}
-	ca.gate.mark(rq.id, 1)
-	defer ca.gate.mark(rq.id, -1)
+	ru := ca.gate.begin(rq)
 	re, sent, err := ca.gate.pool.send(ctx, &exchange{
 		id: rq.id, idName: na.RequestID, method: rq.method, uri: rq.uri, host: rq.host,
 		header: rq.header, body: rq.body, until: rq.deadline.Add(answerSlack),
@@ -103,6 +103,7 @@
 			{na.Timeout, milliseconds(left)}, {na.Expected, pa.target}, {na.Caller, rq.caller},
 		},
 	}, ca.config.Now)
+	calls := ca.gate.end(rq, ru)
 	took := ca.config.Now().Sub(began)
 	rs := ca.classify(ctx, re, sent, err)
 	worked := took
@@ -111,9 +112,37 @@
 	}
 	ca.gate.exit(pa, worked)
 	ca.learn(rq, rs, took)
+	if rs.outcome == retrier.Answered {
+		ca.sawCalls(rq.routeName(), float64(calls))
+	}
 	return rs
 }
 
+// callsWeight is the weight of the newest sample in the average calls of a run.
+const callsWeight = 0.1
+
+// sawCalls takes the number of calls of a run of the route.
+func (ca *Carrier) sawCalls(route string, calls float64) {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	old, ok := ca.calls[route]
+	if !ok {
+		old = calls
+	}
+	ca.calls[route] = old + callsWeight*(calls-old)
+}
+
+// expectedCalls returns the expected number of calls of a run of the route;
+// negative if none has been seen.
+func (ca *Carrier) expectedCalls(route string) float64 {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	if calls, ok := ca.calls[route]; ok {
+		return calls
+	}
+	return -1
+}
+
 // classify turns what came of an exchange with the target into a result.
 func (ca *Carrier) classify(ctx context.Context, re *response, sent bool, err error) *result {
 	na := &ca.config.Names
@@ -248,15 +277,15 @@
 }
 
 // loadFields is the number of values in a load header.
-const loadFields = 5 + int(admitter.Ranks)
+const loadFields = 6 + int(admitter.Ranks)
 
 func encodeLoad(re *placer.Report) string {
 	values := [loadFields]int64{
 		int64(re.Running), int64(re.Slots), re.Work.Milliseconds(),
-		int64(100 * re.Bad), re.Took.Milliseconds(),
+		int64(100 * re.Bad), re.Took.Milliseconds(), int64(100 * re.Calls),
 	}
 	for ra, wait := range re.Waits {
-		values[5+ra] = wait.Milliseconds()
+		values[6+ra] = wait.Milliseconds()
 	}
 	text := make([]byte, 0, 48)
 	for nn, value := range values {
@@ -285,12 +314,13 @@
 	}
 	re := &placer.Report{
 		Running: values[0], Slots: values[1],
-		Work: time.Duration(values[2]) * time.Millisecond,
-		Bad:  float64(values[3]) / 100,
-		Took: time.Duration(values[4]) * time.Millisecond,
+		Work:  time.Duration(values[2]) * time.Millisecond,
+		Bad:   float64(values[3]) / 100,
+		Took:  time.Duration(values[4]) * time.Millisecond,
+		Calls: float64(values[5]) / 100,
 	}
 	for ra := range re.Waits {
-		re.Waits[ra] = time.Duration(values[5+ra]) * time.Millisecond
+		re.Waits[ra] = time.Duration(values[6+ra]) * time.Millisecond
 	}
 	return re
 }
--- a/internal/carrier/request.go
+++ b/internal/carrier/request.go
@@ -27,6 +27,7 @@
 
 	flagInner     = 'i'
 	flagReturning = 'r'
+	flagRepeat    = 'p'
 
 	// returningPart is the part of the usual time at which a request counts as
 	// one that was refused before and has come back.
@@ -53,8 +54,13 @@
 	caller    string
 	// inner says that the target next to the first node made the request while
 	// it worked on another.
-	inner     bool
+	inner bool
+	// returning says that the client was refused before; of a call, the client of
+	// the request that it is made for.
 	returning bool
+	// repeat says that an earlier target had the request, or, of a call, the
+	// request that it is made for.
+	repeat bool
 	// target is the incarnation that a request from another node is meant for.
 	target string
 }
@@ -113,6 +119,14 @@
 	return nil
 }
 
+// routeName returns the name of the request's route, or "".
+func (rq *request) routeName() string {
+	if rq.route == nil {
+		return ""
+	}
+	return rq.route.Name
+}
+
 // hostName returns the host without a port.
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
@@ -127,7 +141,7 @@
 	text = append(text, target...)
 	text = append(text, ' ')
 	text = strconv.AppendInt(text, rq.objective.Sub(now).Milliseconds(), 10)
-	if rq.inner || rq.returning {
+	if rq.inner || rq.returning || rq.repeat {
 		text = append(text, ' ')
 	}
 	if rq.inner {
@@ -136,6 +150,9 @@
 	if rq.returning {
 		text = append(text, flagReturning)
 	}
+	if rq.repeat {
+		text = append(text, flagRepeat)
+	}
 	return string(text)
 }
 
@@ -154,6 +171,7 @@
 	if len(parts) == 3 {
 		rq.inner = strings.IndexByte(parts[2], flagInner) >= 0
 		rq.returning = strings.IndexByte(parts[2], flagReturning) >= 0
+		rq.repeat = strings.IndexByte(parts[2], flagRepeat) >= 0
 	}
 	return nil
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -73,6 +73,8 @@
 	// Took is the time that the request with this report spent at the target;
 	// zero if it got no response.
 	Took time.Duration
+	// Calls is the average number of calls that a run of the request's route makes.
+	Calls float64
 }
 
 // Request is what the choice depends on.
