--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -120,12 +120,12 @@
 	assert.Greater(t, float64(with), 1.2*float64(without))
 }
 
-// Two services, one of which calls the other, shed most of their requests. The
-// calls of repeated runs come on top of the repeats that the called service's
-// budget allows, after that is spent; both stay within its budget together.
+// A service sheds most of its requests, and its repeats spend its budget in the
+// first seconds. Then the service that calls it fails too, and the calls of repeated
+// runs come on top; both stay within the budget together.
 func TestBudgetOfCalledService(t *testing.T) {
 	cf := Config{Ratio: 0.2, Allowance: 60, Window: 10 * time.Second}
-	const nodes, seconds, perSecond, shed, calls = 12, 40, 30, 0.6, 1.4
+	const nodes, seconds, perSecond, calls = 12, 40, 30, 1.4
 	random := rand.New(rand.NewPCG(6, 7))
 	callers, called := make([]*Budget, nodes), make([]*Budget, nodes)
 	for nn := range nodes {
@@ -134,6 +134,13 @@
 	requests, repeats := make([]float64, seconds*10), make([]float64, seconds*10)
 	for tick := range seconds * 10 {
 		now := epoch.Add(time.Duration(tick) * 100 * time.Millisecond)
+		shed, callersShed := 0.0, 0.0
+		if tick >= 200 && tick < 290 {
+			shed = 0.6
+		}
+		if tick >= 240 && tick < 290 {
+			callersShed = 0.6
+		}
 		call := func(node int, repeated bool) {
 			if repeated {
 				called[node].Spend(now)
@@ -151,7 +158,7 @@
 			for range perSecond / 10 {
 				callers[nn].Request(now)
 				re := Repeat{Nodes: nodes, Calls: calls, Last: true}
-				repeated := random.Float64() < shed && callers[nn].Take(re, now)
+				repeated := random.Float64() < callersShed && callers[nn].Take(re, now)
 				for made := calls; made > 0; made-- {
 					if random.Float64() < made {
 						call(nn, false)
