Split runs and averages of the carrier; look at the pace before the queue

Every message between nodes computed the waits of the whole queue only to find that the target is not slow; the pace is looked at first. No change of behaviour.

--- /dev/null
+++ b/internal/carrier/average.go
@@ -0,0 +1,67 @@
+package carrier
+
+import "time"
+
+// The averages by route that a node learns, of its own target and of all.
+
+// expectedWork returns the expected time of the request at the own target.
+func (ca *Carrier) expectedWork(rq *request) time.Duration {
+	if rq.route == nil {
+		return 0
+	}
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	return ca.work[rq.route.Name]
+}
+
+// workWeight is the weight of the newest sample in the average work of a route.
+const workWeight = 0.1
+
+func (ca *Carrier) addWork(route string, took time.Duration) {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	old := ca.work[route]
+	if old == 0 {
+		old = took
+	}
+	ca.work[route] = old + time.Duration(workWeight*float64(took-old))
+}
+
+// usualWork returns the average time of the route's requests at all targets.
+func (ca *Carrier) usualWork(route string) time.Duration {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	return ca.placer.Work(route)
+}
+
+// knownWork is usualWork, but zero while the node has seen no response.
+func (ca *Carrier) knownWork(route string) time.Duration {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	return ca.placer.Seen(route)
+}
+
+// callsWeight is the weight of the newest sample in the average calls of a run.
+const callsWeight = 0.1
+
+// sawCalls takes the number of calls of a run of the route.
+func (ca *Carrier) sawCalls(route string, calls float64) {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	old, ok := ca.calls[route]
+	if !ok {
+		old = calls
+	}
+	ca.calls[route] = old + callsWeight*(calls-old)
+}
+
+// expectedCalls returns the expected number of calls of a run of the route;
+// negative if none has been seen.
+func (ca *Carrier) expectedCalls(route string) float64 {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	if calls, ok := ca.calls[route]; ok {
+		return calls
+	}
+	return -1
+}
--- a/internal/carrier/last.go
+++ b/internal/carrier/last.go
@@ -62,11 +62,10 @@
 // others, because its responses are late when it is slow.
 func (ca *Carrier) warnings(except string) string {
 	now := ca.config.Now()
-	own := ca.gate.load()
-	target := ca.gate.Current().ID
+	target, own := ca.gate.trouble()
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	if own.Troubled() && target != "" {
+	if own != nil {
 		ca.placer.Warn(placer.Warning{Target: target, Report: *own}, now)
 	}
 	return encodeWarnings(ca.placer.Warnings(now), except)
@@ -137,45 +136,6 @@
 	return rs
 }
 
-// usualWork returns the average time of the route's requests at all targets.
-func (ca *Carrier) usualWork(route string) time.Duration {
-	ca.mu.Lock()
-	defer ca.mu.Unlock()
-	return ca.placer.Work(route)
-}
-
-// knownWork is usualWork, but zero while the node has seen no response.
-func (ca *Carrier) knownWork(route string) time.Duration {
-	ca.mu.Lock()
-	defer ca.mu.Unlock()
-	return ca.placer.Seen(route)
-}
-
-// callsWeight is the weight of the newest sample in the average calls of a run.
-const callsWeight = 0.1
-
-// sawCalls takes the number of calls of a run of the route.
-func (ca *Carrier) sawCalls(route string, calls float64) {
-	ca.mu.Lock()
-	defer ca.mu.Unlock()
-	old, ok := ca.calls[route]
-	if !ok {
-		old = calls
-	}
-	ca.calls[route] = old + callsWeight*(calls-old)
-}
-
-// expectedCalls returns the expected number of calls of a run of the route;
-// negative if none has been seen.
-func (ca *Carrier) expectedCalls(route string) float64 {
-	ca.mu.Lock()
-	defer ca.mu.Unlock()
-	if calls, ok := ca.calls[route]; ok {
-		return calls
-	}
-	return -1
-}
-
 // classify turns what came of an exchange with the target into a result.
 func (ca *Carrier) classify(ctx context.Context, re *response, sent bool, err error) *result {
 	na := &ca.config.Names
@@ -259,29 +219,6 @@
 	ca.gate.saw(re)
 }
 
-// expectedWork returns the expected time of the request at the own target.
-func (ca *Carrier) expectedWork(rq *request) time.Duration {
-	if rq.route == nil {
-		return 0
-	}
-	ca.mu.Lock()
-	defer ca.mu.Unlock()
-	return ca.work[rq.route.Name]
-}
-
-// workWeight is the weight of the newest sample in the average work of a route.
-const workWeight = 0.1
-
-func (ca *Carrier) addWork(route string, took time.Duration) {
-	ca.mu.Lock()
-	defer ca.mu.Unlock()
-	old := ca.work[route]
-	if old == 0 {
-		old = took
-	}
-	ca.work[route] = old + time.Duration(workWeight*float64(took-old))
-}
-
 // answerNode writes a result to the first node.
 func (ca *Carrier) answerNode(w http.ResponseWriter, id string, rs *result) {
 	header := w.Header()
