Find versions that slow a part of their requests; notice a store that is back

A version that takes four times as long for two fifths of its requests was judged by 1.5 objectives, which most of its slow responses stay below. Ruled out: the mean (a slow target of a sound version looks alike), a lower part of the objective (needs 200 responses). The longer call runs beside the others now, and pauses count from the start of a call (TestSilentStoreIsNoticedWhenBack, virtual time, fails before).

--- a/internal/replicator/follower.go
+++ b/internal/replicator/follower.go
@@ -31,16 +31,17 @@
 
 const (
 	// retryTime is the first mean pause between calls to a store that does not
-	// answer. It grows by half up to maxRetryTime: news and entries are expected
-	// within two seconds of the store's return, and refused calls cost too.
+	// answer, from start to start. It grows by half up to maxRetryTime: news and
+	// entries are expected within two seconds of the store's return, and refused
+	// calls cost too.
 	retryTime    = 200 * time.Millisecond
 	maxRetryTime = 900 * time.Millisecond
 	// answerTime is how long the store may take beyond the wait that a read asks
 	// for. A store that is slowed 80 times takes 320 ms.
 	answerTime = 800 * time.Millisecond
 	// lostTime bounds a call to a store that did not answer the last one: a large
-	// configuration takes a second over a slow link. slowLostTime bounds every
-	// slowEvery-th call, in case the store is slow.
+	// configuration takes a second over a slow link. slowLostTime bounds the calls
+	// that run beside every slowEvery-th one.
 	lostTime     = 1200 * time.Millisecond
 	slowLostTime = 2500 * time.Millisecond
 	slowEvery    = 4
@@ -77,6 +78,9 @@
 	peers  Peers
 	lost   atomic.Bool
 	kick   chan struct{}
+	// slow gets the end of the longer call that is under way; only Run's goroutine
+	// uses it.
+	slow chan error
 	// asked is when other nodes were last asked; only Run's goroutines use it.
 	asked time.Time
 }
@@ -91,6 +95,7 @@
 // Run follows the topic until the context ends, and closes done.
 func (fo *Follower) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
+	defer fo.awaitSlow()
 	wait := fo.config.Wait
 	for ctx.Err() == nil {
 		began := fo.config.Now()
@@ -98,8 +103,10 @@
 		pause := retryTime
 		for failures := 1; err != nil && ctx.Err() == nil; failures++ {
 			fo.note(err)
-			sleep(ctx, pause/2+rand.N(pause))
+			// The time that a call hung counts: the store may be back since.
+			sleep(ctx, pause/2+rand.N(pause)-fo.config.Now().Sub(began))
 			pause = min(pause*3/2, maxRetryTime)
+			began = fo.config.Now()
 			err = fo.retry(ctx, failures)
 		}
 		if ctx.Err() != nil {
@@ -160,21 +167,38 @@
 }
 
 // retry asks the store again, without a wait, and other nodes at the same time.
+// Every slowEvery-th time another call gets longer beside these, in case the store
+// is slow; one that hangs must not keep the node from a store that is back.
 func (fo *Follower) retry(ctx context.Context, failures int) error {
 	asked := make(chan struct{})
 	go func() {
 		defer close(asked)
 		fo.askPeers(ctx)
 	}()
-	limit := lostTime
-	if failures%slowEvery == 0 {
-		limit = slowLostTime
+	if failures%slowEvery == 0 && fo.slow == nil {
+		fo.slow = make(chan error, 1)
+		go func(ended chan<- error) { ended <- fo.within(ctx, slowLostTime) }(fo.slow)
 	}
-	err := fo.within(ctx, limit)
+	err := fo.within(ctx, lostTime)
 	<-asked
+	select {
+	case serr := <-fo.slow:
+		fo.slow = nil
+		if serr == nil {
+			return nil
+		}
+	default:
+	}
 	return err
 }
 
+// awaitSlow waits for the end of the longer call, if one is under way.
+func (fo *Follower) awaitSlow() {
+	if fo.slow != nil {
+		<-fo.slow
+	}
+}
+
 // Lost reports whether the store does not answer.
 func (fo *Follower) Lost() bool {
 	return fo.lost.Load()
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -70,6 +70,10 @@
 	// sigmas is how many standard deviations above the bound the bad responses
 	// must be, because every look at the evidence is a test.
 	sigmas = 4.0
+	// suspicion is the same for a rollout not to advance, and suspicionEnd the part of
+	// the duration after which one that cannot advance for it is rolled back.
+	suspicion    = 1.0
+	suspicionEnd = 0.75
 	// baseSigmas is by how many standard deviations the share of bad responses of
 	// the base version is taken to be higher than seen.
 	baseSigmas = 2.0
@@ -134,7 +138,7 @@
 	if mo.State != Active {
 		return mo, false
 	}
-	if reason, bad := faulty(fresh, base); bad {
+	if reason, bad := faulty(fresh, base, sigmas); bad {
 		return finish(mo, RolledBack, elapsed, reason), true
 	}
 	duration := float64(max(or.Duration, time.Second))
@@ -154,6 +158,12 @@
 		fresh.Targets == 0 || Sum(fresh.Total).Requests < minRequests {
 		return mo, false
 	}
+	if reason, suspect := faulty(fresh, base, suspicion); suspect {
+		if progress > suspicionEnd {
+			return finish(mo, RolledBack, elapsed, "suspicion: "+reason), true
+		}
+		return mo, false
+	}
 	mo.Step++
 	mo.Elapsed = elapsed
 	return mo, true
@@ -165,21 +175,21 @@
 }
 
 // faulty reports whether the new version is worse than the base version, on
-// one route or on all, of late or in total.
-func faulty(fresh, base Evidence) (string, bool) {
-	if worse(Sum(fresh.Recent), usable(Sum(base.Recent), Sum(base.Total))) {
+// one route or on all, of late or in total, by the given standard deviations.
+func faulty(fresh, base Evidence, sigmas float64) (string, bool) {
+	if worse(Sum(fresh.Recent), usable(Sum(base.Recent), Sum(base.Total)), sigmas) {
 		return "recent responses", true
 	}
-	if worse(Sum(fresh.Total), Sum(base.Total)) {
+	if worse(Sum(fresh.Total), Sum(base.Total), sigmas) {
 		return "all responses", true
 	}
 	for route, ta := range fresh.Recent {
-		if worse(ta, usable(base.Recent[route], base.Total[route])) {
+		if worse(ta, usable(base.Recent[route], base.Total[route]), sigmas) {
 			return "recent responses of route " + route, true
 		}
 	}
 	for route, ta := range fresh.Total {
-		if worse(ta, base.Total[route]) {
+		if worse(ta, base.Total[route], sigmas) {
 			return "all responses of route " + route, true
 		}
 	}
@@ -195,8 +205,8 @@
 }
 
 // worse reports whether a version has more bad responses than those of the base
-// version and chance explain.
-func worse(fresh, base Tally) bool {
+// version and chance explain, which the standard deviations bound.
+func worse(fresh, base Tally, sigmas float64) bool {
 	if fresh.Bad < minBad {
 		return false
 	}
