--- a/internal/replicator/follower.go
+++ b/internal/replicator/follower.go
@@ -194,8 +194,11 @@
 
 // awaitSlow waits for the end of the longer call, if one is under way.
 func (fo *Follower) awaitSlow() {
-	if fo.slow != nil {
-		<-fo.slow
+	if fo.slow == nil {
+		return
+	}
+	if err := <-fo.slow; err != nil {
+		fo.config.Log.WithError(err).WithField("topic", fo.config.Topic).Debug("longer call ended")
 	}
 }
 
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -158,10 +158,19 @@
 		fresh.Targets == 0 || Sum(fresh.Total).Requests < minRequests {
 		return mo, false
 	}
-	if reason, suspect := faulty(fresh, base, suspicion); suspect {
-		if progress > suspicionEnd {
-			return finish(mo, RolledBack, elapsed, "suspicion: "+reason), true
-		}
+	return advance(mo, elapsed, progress, fresh, base)
+}
+
+// advance takes the next step of a rollout whose time has come, unless the evidence
+// makes its version suspect.
+func advance(
+	mo Move, elapsed time.Duration, progress float64, fresh, base Evidence,
+) (Move, bool) {
+	reason, suspect := faulty(fresh, base, suspicion)
+	switch {
+	case suspect && progress > suspicionEnd:
+		return finish(mo, RolledBack, elapsed, "suspicion: "+reason), true
+	case suspect:
 		return mo, false
 	}
 	mo.Step++
