--- a/internal/meshrunner/relay.go
+++ b/internal/meshrunner/relay.go
@@ -57,7 +57,7 @@
 			nodes = append(nodes, en.Node)
 		}
 	}
-	return elector.Owners("reader", nodes, readers)
+	return elector.Owners("reader", nodes, readerCount)
 }
 
 // errStoreLost spares a call to a store that does not answer another one.
--- a/internal/meshrunner/sourcing.go
+++ b/internal/meshrunner/sourcing.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// readers is the number of nodes of a data centre that may read the store for
+	// readerCount is the number of nodes of a data centre that may read the store for
 	// the others: the first, and two that stand in when the store does not answer
 	// those before.
-	readers = 3
+	readerCount = 3
 	// readerRest is how long a reader that could not help is not asked again.
 	readerRest = 700 * time.Millisecond
 	// storeRest is the mean time between two reads of a store that does not answer
--- a/internal/meshrunner/sourcing_test.go
+++ b/internal/meshrunner/sourcing_test.go
@@ -39,7 +39,7 @@
 	for now := start; now.Before(start.Add(length)); now = now.Add(period) {
 		for nn, self := range nodes {
 			for tried := 0; ; {
-				node, following := sources[nn].next(nodes[:readers], tried, self, now)
+				node, following := sources[nn].next(nodes[:readerCount], tried, self, now)
 				if !node.IsValid() {
 					break
 				}
