Revert taking a version back on its first failed call

The checks stay, the change goes: the reaction of TestLowTrafficExposure is 31m8s at worst again (4 s with it), exposed 3 calls (1 with it), and no good version of 1,000 is taken back (2 with it).

--- a/internal/evaluator/judge.go
+++ b/internal/evaluator/judge.go
@@ -22,8 +22,7 @@
 	// counts as one with little traffic.
 	quietCalls = 10
 	// quietFailures is how many calls of such a service must fail in a row at
-	// the new version; the likelihood ratio needs more calls than it has. One
-	// is enough if it is the first, as each call is a great part of its calls.
+	// the new version; the likelihood ratio needs more calls than it has.
 	quietFailures = 2
 	// firstFailures is how many of the first calls to the new version in a data
 	// centre must all fail to take it back, and firstFailuresEver the same
@@ -373,20 +372,12 @@
 		return fmt.Sprintf("%s: logarithmic likelihood ratio %.1f", ju.top.where(), ju.top.value)
 	case ju.failedAtFirst(first, now):
 		return fmt.Sprintf("errors: every call so far failed (%d)", ju.row)
-	case ju.row >= quietFailures && ju.quiet(), ju.firstFailedQuietly(now),
-		unseen && ju.row > 0 && !ju.succeeded:
+	case ju.row >= quietFailures && ju.quiet(), unseen && ju.row > 0 && !ju.succeeded:
 		return fmt.Sprintf("errors: %d calls in a row failed", ju.row)
 	}
 	return ""
 }
 
-// firstFailedQuietly reports whether a service with little traffic has seen
-// nothing but failures of the new version, and none of the old one lately.
-func (ju *judge) firstFailedQuietly(now time.Time) bool {
-	return ju.quiet() && !ju.succeeded && ju.row > 0 && now.Sub(ju.rowSince) >= firstWait &&
-		ju.recent.hits < 0.5
-}
-
 // failedAtFirst reports whether the new version has failed every call, and the
 // old version shows that this is not the data centre's fault.
 func (ju *judge) failedAtFirst(first bool, now time.Time) bool {
