Order the nodes to ask for a topic once

sourcing.next made its caller carry an index between calls; it returns the nodes in order now, and the caller goes through them. Rests are looked at once a read instead of before each step.

--- a/internal/meshrunner/relay.go
+++ b/internal/meshrunner/relay.go
@@ -81,16 +81,11 @@
 	if re.topic == meshTopic && ru.operator.Lost() {
 		return replicator.Snapshot{}, errStoreLost
 	}
-	self, ranked := ru.settings.Load().Nodes, ru.readers()
-	for tried := 0; ; {
-		node, following := re.next(ranked, tried, self, ru.Now())
-		switch {
-		case !node.IsValid():
-			return replicator.Snapshot{}, errStoreLost
-		case node == self:
+	self := ru.settings.Load().Nodes
+	for _, node := range re.order(ru.readers(), self, ru.Now()) {
+		if node == self {
 			return re.readStore(ctx, from, wait)
 		}
-		tried = following
 		sn, err := re.ask(ctx, node, from, min(wait, relayWait))
 		if err == nil || ctx.Err() != nil {
 			return sn, err
@@ -98,6 +93,7 @@
 		wait = 0 // the time was spent at the reader
 		re.giveUp(node, err)
 	}
+	return replicator.Snapshot{}, errStoreLost
 }
 
 // Newest implements [replicator.Source]. It always asks the store.
--- a/internal/meshrunner/sourcing.go
+++ b/internal/meshrunner/sourcing.go
@@ -38,23 +38,27 @@
 	return &sourcing{rests: map[netip.AddrPort]time.Time{}}
 }
 
-// next returns the reader to ask, or self for the store, out of the ranked
-// readers; those before the given one have been tried. It returns the zero
-// address if nobody is to be asked now.
-func (so *sourcing) next(
-	ranked []netip.AddrPort, from int, self netip.AddrPort, now time.Time,
-) (netip.AddrPort, int) {
+// order returns the nodes to ask one after the other: the ranked readers that do not
+// rest, up to self, which stands for the store. It is empty if nobody is to be asked
+// now.
+func (so *sourcing) order(
+	ranked []netip.AddrPort, self netip.AddrPort, now time.Time,
+) []netip.AddrPort {
 	so.mu.Lock()
 	defer so.mu.Unlock()
-	for nn := from; nn < len(ranked); nn++ {
-		if ranked[nn] == self || !now.Before(so.rests[ranked[nn]]) {
-			return ranked[nn], nn + 1
+	var nodes []netip.AddrPort
+	for _, reader := range ranked {
+		if reader == self {
+			return append(nodes, self)
+		}
+		if !now.Before(so.rests[reader]) {
+			nodes = append(nodes, reader)
 		}
 	}
-	if now.Before(so.storeRests) {
-		return netip.AddrPort{}, len(ranked)
+	if !now.Before(so.storeRests) {
+		nodes = append(nodes, self)
 	}
-	return self, len(ranked)
+	return nodes
 }
 
 // failed notes that a reader could not help.
--- a/internal/meshrunner/sourcing_test.go
+++ b/internal/meshrunner/sourcing_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -38,11 +39,7 @@
 	}
 	for now := start; now.Before(start.Add(length)); now = now.Add(period) {
 		for nn, self := range nodes {
-			for tried := 0; ; {
-				node, following := sources[nn].next(nodes[:readerCount], tried, self, now)
-				if !node.IsValid() {
-					break
-				}
+			for _, node := range sources[nn].order(nodes[:readerCount], self, now) {
 				if node == self {
 					calls++
 					sources[nn].called(served(nn), rd.Float64(), now)
@@ -51,8 +48,7 @@
 					}
 					break
 				}
-				tried = following
-				if now.Sub(lastRead[tried-1]) <= overdueTime {
+				if now.Sub(lastRead[slices.Index(nodes, node)]) <= overdueTime {
 					lastNews[nn] = now
 					break
 				}
