Check the warming call of the reset test when it crosses a reset

Cause: a relay that cuts exactly after the last byte of a response delivers it whole and then resets the connection, which is back in its pool by then. The warming call, without an idempotency key, crosses that reset; unknown is its true outcome.

Ruled out: a lost or untrue outcome. The warming call now counts like the others: at most one execution, a true outcome, its own whole response. A failure is allowed only after an answered call, twice a run at most, and the call after it has to succeed.

--- a/internal/forwarder/relay_test.go
+++ b/internal/forwarder/relay_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 
@@ -155,6 +156,9 @@
 	eventually(t, func() bool { return last.limiter.InFlight() == 0 }, "all slots are free")
 }
 
+// warmSuffix ends the ids of warming calls.
+const warmSuffix = "-warm"
+
 // cutRun makes calls through a relay that cuts them.
 type cutRun struct {
 	t       *testing.T
@@ -163,6 +167,11 @@
 	relay   *tcpRelay
 	reused  bool
 	results map[string]answer
+	// answered says that the call before was answered.
+	answered bool
+	// crossed is the number of warming calls that met the reset of the call
+	// before.
+	crossed int
 }
 
 func (cr *cutRun) call(request, response int) {
@@ -170,16 +179,34 @@
 		cr.results = map[string]answer{}
 	}
 	cr.relay.arm(noCut, noCut)
+	id := fmt.Sprintf("%s-%d-%d", cr.t.Name(), request, response)
 	if cr.reused {
-		require.Equal(cr.t, http.StatusOK, post(cr.t, cr.to, "/confirm", "", []byte("warm")).status)
+		cr.warm(id)
 	} else {
 		cr.relay.reset()
 	}
 	cr.relay.arm(request, response)
-	id := fmt.Sprintf("%s-%d-%d", cr.t.Name(), request, response)
 	req := newRequest(cr.t, http.MethodPost, cr.to, "/confirm", id, []byte("a body of 20 bytes.."))
 	req.Header.Set(headerKey, "key")
 	cr.results[id] = do(req)
+	cr.answered = cr.results[id].status == http.StatusOK
+}
+
+// warm leaves idle connections behind. A relay that cuts after the last byte of
+// a response resets a connection that has gone back to its pool, so the next
+// call can cross the reset: it is checked like the others, and the call after
+// it succeeds.
+func (cr *cutRun) warm(id string) {
+	warming := newRequest(cr.t, http.MethodPost, cr.to, "/confirm", id+warmSuffix, []byte("warm"))
+	an := do(warming)
+	cr.results[id+warmSuffix] = an
+	if an.status == http.StatusOK {
+		return
+	}
+	require.True(cr.t, cr.answered, "%s: no response came before the reset: %+v", id, an)
+	cr.crossed++
+	an = post(cr.t, cr.to, "/confirm", "", []byte("warm"))
+	require.Equal(cr.t, http.StatusOK, an.status, "%s: %+v", id, an)
 }
 
 // check compares what the callers were told with what the target ran.
@@ -194,7 +221,9 @@
 			outcomes["broken"]++
 			continue
 		}
-		outcomes[an.outcome()]++
+		if !strings.HasSuffix(id, warmSuffix) {
+			outcomes[an.outcome()]++
+		}
 		switch an.outcome() {
 		case "answered":
 			require.Equal(cr.t, 1, ran, id)
@@ -209,5 +238,7 @@
 	}
 	require.Positive(cr.t, outcomes["answered"], "the bounds do not reach the end of a message")
 	require.Positive(cr.t, outcomes["unknown"]+outcomes["broken"])
+	// At most one cut a direction lies exactly at the end of a response.
+	require.LessOrEqual(cr.t, cr.crossed, 2)
 	cr.t.Log(outcomes)
 }
