Deduct the node's own scheduling delay from the latency of its target

Cause: on a machine without a free processor the node is scheduled late, the limiter takes that for the target's latency and lowers its limit to 1 or 2 at little load; calls that come in bursts are refused then.

A ticker wakes once a millisecond while calls run and adds up how late it is; the limiter compares the latency less that.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -29,6 +29,7 @@
 	"github.com/guavastall/guavastall/internal/recorder"
 	"github.com/guavastall/guavastall/internal/retrier"
 	"github.com/guavastall/guavastall/internal/router"
+	"github.com/guavastall/guavastall/internal/ticker"
 	"github.com/guavastall/guavastall/pkg/checker"
 )
 
@@ -167,6 +168,7 @@
 	gate   *gate
 	once   *once
 	target *pool
+	ticker *ticker.Ticker
 
 	mu    sync.RWMutex
 	peers map[checker.NodeID]*pool
@@ -200,6 +202,7 @@
 	fw := &Forwarder{
 		config: cf, parts: pa, peers: map[checker.NodeID]*pool{},
 		gate:       &gate{limiter: pa.Limiter, now: cf.Now, out: pa.Out},
+		ticker:     ticker.New(cf.Now),
 		callPrefix: strconv.FormatUint(rand.Uint64(), 36) + "-",
 	}
 	fw.once = newOnce(pa.Claimer, cf.Now)
--- a/internal/forwarder/guard_test.go
+++ b/internal/forwarder/guard_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/guavastall/guavastall/internal/answerer"
 	"github.com/guavastall/guavastall/internal/targetserver"
+	"github.com/guavastall/guavastall/pkg/checker"
 )
 
 // rawServer gives each accepted connection to the function, with its number.
@@ -396,3 +397,27 @@
 	do(req).requireError(t, answerer.DeadlineExceeded, "unknown")
 	require.Equal(t, "ok", post(t, first.caller, "/confirm", "c", nil).body)
 }
+
+// Guards against a limiter that takes the time for which the node was stopped
+// for the latency of the target.
+func TestLatenessOfTheNode(t *testing.T) {
+	const stop = 5 * time.Second
+	var stopped atomic.Int64
+	now := func() time.Time { return time.Now().Add(time.Duration(stopped.Load())) }
+	address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		stopped.Add(int64(stop))
+		w.WriteHeader(http.StatusOK)
+	}))
+	node := startNode(t, options{target: address, now: now})
+	node.setTable(func(ta *testTable) {
+		ta.routes[0].Timeout = checker.Duration(time.Minute)
+	}, node.id)
+	require.Equal(t, http.StatusOK, get(t, node.caller, "/scan", "late").status)
+	eventually(t, func() bool { return node.limiter.InFlight() == 0 }, "the slot is free")
+	node.limiter.mu.Lock()
+	defer node.limiter.mu.Unlock()
+	require.Len(t, node.limiter.results, 1)
+	re := node.limiter.last
+	require.GreaterOrEqual(t, re.Latency, stop)
+	require.Less(t, re.Latency-re.Late, stop/2)
+}
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -102,6 +102,7 @@
 	limit, inFlight, queued int
 	queue                   bool
 	results                 []limiter.Status
+	last                    limiter.Result
 }
 
 func (li *testLimiter) Offer(time.Time) bool {
@@ -145,6 +146,7 @@
 	defer li.mu.Unlock()
 	li.inFlight--
 	li.results = append(li.results, re.Status)
+	li.last = re
 }
 
 func (li *testLimiter) Limit() int { return li.limit }
@@ -207,6 +209,7 @@
 	hedgeAfter time.Duration
 	maxCalls   int
 	log        Log
+	now        func() time.Time
 }
 
 // node is a forwarder with its two servers.
@@ -229,7 +232,7 @@
 	if op.limit == 0 {
 		no.limiter.limit = 100
 	}
-	cf := Config{Self: no.id, MaxCalls: op.maxCalls}
+	cf := Config{Self: no.id, MaxCalls: op.maxCalls, Now: op.now}
 	if op.target.IsValid() {
 		cf.Target = &Target{Service: "tag", Version: "v1", Address: op.target}
 	}
--- a/internal/forwarder/last.go
+++ b/internal/forwarder/last.go
@@ -101,6 +101,7 @@
 		}
 	}
 	rp.began = fw.config.Now()
+	rp.late = fw.ticker.Begin(rp.began)
 	if rp.roundTrip(ctx, ca, fw.target, ho) {
 		rp.fromTarget(ctx)
 	}
--- a/internal/forwarder/reply.go
+++ b/internal/forwarder/reply.go
@@ -12,6 +12,7 @@
 	"github.com/guavastall/guavastall/internal/limiter"
 	"github.com/guavastall/guavastall/internal/retrier"
 	"github.com/guavastall/guavastall/internal/router"
+	"github.com/guavastall/guavastall/internal/ticker"
 )
 
 // reply is what came of one attempt. Its body, if the outcome is Answered, is
@@ -30,6 +31,8 @@
 	local bool
 	// admitted says that the attempt holds a slot of the gate.
 	admitted bool
+	// late measures how late the node is for a sent call.
+	late *ticker.Span
 
 	endpoint router.Endpoint
 	began    time.Time
@@ -228,7 +231,11 @@
 		return
 	}
 	rp.admitted = false
-	re := limiter.Result{Latency: fw.config.Now().Sub(rp.began), Status: limiter.Failed}
+	now := fw.config.Now()
+	re := limiter.Result{Latency: now.Sub(rp.began), Status: limiter.Failed}
+	if rp.late != nil {
+		re.Late = rp.late.End(now)
+	}
 	switch {
 	case en == blameless:
 		re.Status = limiter.Cancelled
--- a/internal/limiter/control.go
+++ b/internal/limiter/control.go
@@ -179,9 +179,10 @@
 	}
 }
 
-// ratio returns the latency relative to the reference of its route.
+// ratio returns the latency of the target relative to the reference of its
+// route.
 func (co *control) ratio(re Result) float64 {
-	latency := float64(re.Latency)
+	latency := float64(max(re.Latency-re.Late, 0))
 	if co.typical == 0 {
 		co.typical = re.Latency
 	}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -52,6 +52,9 @@
 	// Latency is the time from sending the call to the target to the end of
 	// the response.
 	Latency time.Duration
+	// Late is the part of Latency for which the node itself waited for a
+	// processor. It says nothing about the target.
+	Late time.Duration
 }
 
 // Hint is a report of the target's health and load endpoints.
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -241,3 +241,58 @@
 		}
 	}
 }
+
+// lateNode replays a node whose machine has no free processor: a target that
+// needs 2 ms, and a third of its calls end up to 40 ms later because the node is
+// not scheduled. The node's measure of it is short by up to a tenth. It returns
+// how many of the calls were refused.
+func lateNode(li *Limiter, latency func() time.Duration) (refused, calls int) {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	now := start
+	for range 6000 {
+		now = now.Add(15 * time.Millisecond)
+		// Callers are late as well, so that calls come in bursts.
+		taken := 0
+		for range 1 + rnd.IntN(3) {
+			calls++
+			if !li.Offer(now) {
+				refused++
+				continue
+			}
+			taken++
+		}
+		for range taken {
+			re := Result{Status: OK, Route: "scan", Latency: latency()}
+			if rnd.IntN(3) == 0 {
+				late := time.Duration(rnd.IntN(40_000)) * time.Microsecond
+				re.Latency += late
+				re.Late = late * time.Duration(90+rnd.IntN(11)) / 100
+			}
+			li.Done(re, now.Add(re.Latency))
+		}
+	}
+	return refused, calls
+}
+
+// Guards against a limit that falls because the node itself is scheduled late:
+// with little load calls were refused as overloaded.
+func TestLateSchedulingIsNoOverload(t *testing.T) {
+	li := New(Config{Slots: 20, Initial: 3})
+	refused, calls := lateNode(li, func() time.Duration { return 2 * time.Millisecond })
+	require.Zero(t, refused, "of %d calls", calls)
+	require.GreaterOrEqual(t, li.Limit(), 3)
+}
+
+// Guards against an overload that goes unnoticed on a busy machine.
+func TestOverloadBesideLateScheduling(t *testing.T) {
+	li := New(Config{Slots: 20, Initial: 3})
+	latency := func() time.Duration { return 5 * time.Millisecond }
+	lateNode(li, latency)
+	li.mu.Lock()
+	li.limit = 20 // what the target could do before
+	li.mu.Unlock()
+	lateNode(li, func() time.Duration {
+		return time.Duration(5+li.Limit()) * time.Millisecond
+	})
+	require.Less(t, li.Limit(), 10)
+}
