--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -246,6 +247,25 @@
 	<-done
 }
 
+// Guards against a late attempt that never gets a hedge because no other
+// endpoint was free when it was first looked for.
+func TestHedgeWaitsForEndpoint(t *testing.T) {
+	_, slowAddress := startTarget(t, func(se *targetserver.Settings) {
+		se.Faults = []targetserver.Fault{{Kind: targetserver.FaultHang}}
+	})
+	_, fastAddress := startTarget(t, nil)
+	stuck := startNode(t, options{target: slowAddress})
+	good := startNode(t, options{target: fastAddress})
+	first := startNode(t, options{hedgeAfter: 5 * time.Millisecond})
+	var picks atomic.Int64
+	first.setTable(func(ta *testTable) {
+		ta.profile.Routing.Hedge = true
+		ta.full = func(en checker.NodeID) bool { return en == good.id && picks.Add(1) < 4 }
+	}, stuck.id, good.id)
+	an := get(t, first.caller, "/scan", "a")
+	require.Equal(t, http.StatusOK, an.status, an.body)
+}
+
 // Guards against a hedge that does not start, that runs for a call that is not
 // idempotent, or whose loser goes on.
 func TestHedge(t *testing.T) {
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -49,6 +49,8 @@
 	endpoints []router.Endpoint
 	routes    []checker.Route
 	profile   checker.Profile
+	// full says that an endpoint has no room.
+	full func(checker.NodeID) bool
 }
 
 func (ta *testTable) Plan(ca router.Call, _ time.Time) (router.Plan, error) {
@@ -70,7 +72,7 @@
 	_ router.Plan, tried []checker.NodeID, _ *router.Loads, _ time.Time,
 ) (router.Endpoint, error) {
 	for _, en := range ta.endpoints {
-		if !slices.Contains(tried, en.Node) {
+		if !slices.Contains(tried, en.Node) && (ta.full == nil || !ta.full(en.Node)) {
 			return en, nil
 		}
 	}
--- a/internal/forwarder/hedge.go
+++ b/internal/forwarder/hedge.go
@@ -14,6 +14,11 @@
 // late attempt. Lookups take some milliseconds.
 const hedgePeriod = 2 * time.Millisecond
 
+// noTargetPeriod is the time until a late attempt that found no other endpoint
+// looks for one again. Load reports, which free an endpoint, come with each
+// response.
+const noTargetPeriod = 20 * time.Millisecond
+
 // race is an attempt with at most one hedge beside it.
 type race struct {
 	jo      *journey
@@ -61,10 +66,15 @@
 	}
 }
 
-// hedge starts the second attempt if the retrier and the router allow it. It
-// returns when to ask again; zero is not at all.
+// hedge starts the second attempt if the router and the retrier allow it. The
+// router comes first, because the retrier takes what it allows from the budget.
+// It returns when to ask again; zero is not at all.
 func (ra *race) hedge(ctx context.Context, began time.Time) time.Duration {
 	jo := ra.jo
+	en, err := jo.pick()
+	if err != nil {
+		return noTargetPeriod
+	}
 	now := jo.fw.config.Now()
 	de := jo.fw.parts.Retrier.Hedge(jo.plan, retrier.Attempt{
 		Number: jo.number, MaxAttempts: jo.plan.Profile.Retries.MaxAttempts,
@@ -75,10 +85,6 @@
 	if !de.Again {
 		return max(de.Delay, hedgePeriod)
 	}
-	en, err := jo.pick()
-	if err != nil {
-		return 0
-	}
 	jo.number++
 	jo.tried = append(jo.tried, en.Node)
 	jo.fw.parts.Log.Record(recorder.Decision{
