--- a/internal/carrier/average.go
+++ b/internal/carrier/average.go
@@ -1,9 +1,30 @@
 package carrier
 
-import "time"
+import (
+	"maps"
+	"time"
+
+	"github.com/guavastall/guavastall/internal/matcher"
+)
 
 // The averages by route that a node learns, of its own target and of all.
 
+// keepRoutes forgets the averages of routes that are no longer configured; the
+// caller holds the lock.
+func (ca *Carrier) keepRoutes(routes []*matcher.Route) {
+	names := make(map[string]bool, len(routes))
+	for _, ro := range routes {
+		names[ro.Name] = true
+	}
+	ca.placer.KeepRoutes(names)
+	for _, averages := range []map[string]time.Duration{ca.usual, ca.work} {
+		maps.DeleteFunc(averages, func(route string, _ time.Duration) bool {
+			return !names[route]
+		})
+	}
+	maps.DeleteFunc(ca.calls, func(route string, _ float64) bool { return !names[route] })
+}
+
 // expectedWork returns the expected time of the request at the own target.
 func (ca *Carrier) expectedWork(rq *request) time.Duration {
 	if rq.route == nil {
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -158,6 +158,9 @@
 	}
 	ca.mu.Lock()
 	ca.placer.Keep(targets, nodes)
+	if old := ca.view.Load(); vi.Config != nil && (old == nil || old.Config != vi.Config) {
+		ca.keepRoutes(vi.Config.Routes)
+	}
 	ca.mu.Unlock()
 	ca.view.Store(vi)
 }
--- a/internal/carrier/first_test.go
+++ b/internal/carrier/first_test.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 
+	"github.com/guavastall/guavastall/internal/matcher"
 	"github.com/guavastall/guavastall/internal/placer"
 )
 
@@ -60,6 +61,24 @@
 	assert.True(t, ca.Reachable(dead), "a node that is gone is forgotten")
 }
 
+// What was learned of routes does not grow with every configuration.
+func TestRoutesForgotten(t *testing.T) {
+	ca := New(Config{Now: time.Now}, openGate(), nil, metrics.NewRegistry())
+	config := func(name string) *View {
+		return &View{Config: &matcher.Config{Routes: []*matcher.Route{{Name: name}}}}
+	}
+	ca.SetView(config("old"))
+	ca.usualTime("old", time.Second)
+	ca.addWork("old", time.Second)
+	ca.sawCalls("old", 2)
+	ca.SetView(config("old"))
+	assert.Equal(t, 2.0, ca.expectedCalls("old"))
+	ca.SetView(config("new"))
+	assert.Negative(t, ca.expectedCalls("old"))
+	assert.Empty(t, ca.usual)
+	assert.Empty(t, ca.work)
+}
+
 func TestWarningsRoundTrip(t *testing.T) {
 	all := []placer.Warning{
 		{Target: "a", Age: 20 * time.Millisecond, Report: placer.Report{Slots: 9, Slowness: 4.5}},
--- a/internal/meshrunner/relay.go
+++ b/internal/meshrunner/relay.go
@@ -87,6 +87,10 @@
 			return re.readStore(ctx, from, wait)
 		}
 		sn, err := re.ask(ctx, node, from, min(wait, relayWait))
+		if err == nil && re.helped(node) {
+			ru.Log.WithField("topic", re.topic).WithField("node", node.String()).
+				Info("reader answers again")
+		}
 		if err == nil || ctx.Err() != nil {
 			return sn, err
 		}
@@ -110,9 +114,10 @@
 	if errors.As(err, &dial) && dial.Op == "dial" {
 		ru.carrier.Probed(reader, false) // another node is the reader until it answers
 	}
-	re.failed(reader, ru.Now())
-	ru.Log.WithError(err).WithField("topic", re.topic).WithField("node", reader.String()).
-		Info("reader does not answer")
+	if re.failed(reader, ru.Now()) {
+		ru.Log.WithError(err).WithField("topic", re.topic).WithField("node", reader.String()).
+			Info("reader does not answer")
+	}
 }
 
 func (re *relay) readStore(
--- a/internal/meshrunner/sourcing.go
+++ b/internal/meshrunner/sourcing.go
@@ -1,7 +1,9 @@
 package meshrunner
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -28,7 +30,7 @@
 // for concurrent use.
 type sourcing struct {
 	mu sync.Mutex
-	// rests says until when a reader is not asked.
+	// rests says until when a reader that could not help is not asked.
 	rests map[netip.AddrPort]time.Time
 	// storeRests is until when a node that is no reader leaves the store alone.
 	storeRests time.Time
@@ -46,6 +48,9 @@
 ) []netip.AddrPort {
 	so.mu.Lock()
 	defer so.mu.Unlock()
+	maps.DeleteFunc(so.rests, func(reader netip.AddrPort, _ time.Time) bool {
+		return !slices.Contains(ranked, reader)
+	})
 	var nodes []netip.AddrPort
 	for _, reader := range ranked {
 		if reader == self {
@@ -61,11 +66,22 @@
 	return nodes
 }
 
-// failed notes that a reader could not help.
-func (so *sourcing) failed(reader netip.AddrPort, now time.Time) {
+// failed notes that a reader could not help and reports whether it could before.
+func (so *sourcing) failed(reader netip.AddrPort, now time.Time) bool {
 	so.mu.Lock()
 	defer so.mu.Unlock()
+	_, before := so.rests[reader]
 	so.rests[reader] = now.Add(readerRest)
+	return !before
+}
+
+// helped notes that a reader helped and reports whether it could not before.
+func (so *sourcing) helped(reader netip.AddrPort) bool {
+	so.mu.Lock()
+	defer so.mu.Unlock()
+	_, before := so.rests[reader]
+	delete(so.rests, reader)
+	return before
 }
 
 // called notes the outcome of a call to the store. The spread lies between 0 and 1.
--- a/internal/meshrunner/sourcing_test.go
+++ b/internal/meshrunner/sourcing_test.go
@@ -93,3 +93,21 @@
 	const inTouch = 3 * time.Second
 	assert.Less(t, storeRest+time.Duration(storeRestSpread*float64(storeRest)), inTouch)
 }
+
+// A reader that cannot help is lost once and regained once, however often it is
+// asked, and is forgotten when it no longer ranks.
+func TestReaderLostAndRegained(t *testing.T) {
+	so, now := newSourcing(), time.Unix(1_000, 0)
+	nodes := nodesOf(3)
+	assert.False(t, so.helped(nodes[0]))
+	assert.True(t, so.failed(nodes[0], now))
+	now = now.Add(readerRest)
+	assert.Equal(t, nodes[0], so.order(nodes, nodes[2], now)[0])
+	assert.False(t, so.failed(nodes[0], now))
+	assert.True(t, so.helped(nodes[0]))
+	assert.False(t, so.helped(nodes[0]))
+
+	so.failed(nodes[1], now)
+	so.order(nodes[2:], nodes[2], now)
+	assert.Empty(t, so.rests)
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -10,6 +10,7 @@
 package placer
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -381,3 +382,10 @@
 		}
 	}
 }
+
+// KeepRoutes forgets what was learned of other routes.
+func (pl *Placer) KeepRoutes(routes map[string]bool) {
+	maps.DeleteFunc(pl.routes, func(route string, _ time.Duration) bool {
+		return !routes[route]
+	})
+}
