Use half of the cold slack and count cold starts when they are sent

Of the slack of the settings (warmup_slack) nothing was used, because a request may be sent later than it is admitted: p99 1.2 ms, p99.9 9 ms, most 154 ms of 108,562.

Starts are now counted when they are sent, after the connection is open, and half of the slack is used. Found on the way: Hold was lost when the rate became known after it, so that a restarted node could have given a cold target its rate twice in a second (TestHoldBeforeRate, by reading; no run showed it). Before the first sample of a route, half of its objective stands for its work in place of the average of all.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -74,6 +74,8 @@
 	number uint64
 	// patience is until when the request waits even if it is late.
 	patience time.Time
+	// started is when it was admitted, or sent to a cold target.
+	started time.Time
 }
 
 // Verdict is the answer to an offer.
@@ -110,6 +112,8 @@
 	coldRate  float64
 	// starts are the admissions within the last rateWindow, oldest first.
 	starts []time.Time
+	// heldUntil is until when a cold target gets nothing.
+	heldUntil time.Time
 }
 
 // New returns a queue for a target with the slots.
@@ -224,6 +228,7 @@
 	qu.running++
 	qu.runningWork += ti.Work
 	qu.starts = append(qu.trimmed(now), now)
+	ti.started = now
 }
 
 // free reports whether a request may start now.
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -147,6 +147,36 @@
 	assert.Equal(t, Admitted, verdict)
 }
 
+// The rate is used up too if it becomes known after the restart.
+func TestHoldBeforeRate(t *testing.T) {
+	qu := New[int](18)
+	qu.Hold(epoch)
+	qu.SetColdRate(30)
+	qu.SetCold(at(3000))
+	_, verdict, _ := qu.Offer(request(First, epoch), 0, epoch)
+	assert.NotEqual(t, Admitted, verdict)
+	_, verdict, _ = qu.Offer(request(First, at(1001)), 0, at(1001))
+	assert.Equal(t, Admitted, verdict)
+}
+
+// Requests that are sent long after their admission, when a connection had to be
+// opened first, count in the second in which the target gets them.
+func TestColdRateCountsSends(t *testing.T) {
+	const rate = 5
+	qu := New[int](18)
+	qu.SetColdRate(rate)
+	qu.SetCold(at(5000))
+	for range rate {
+		ti, verdict, _ := qu.Offer(request(First, epoch), 0, epoch)
+		assert.Equal(t, Admitted, verdict)
+		qu.Sent(ti, at(300))
+		qu.Done(ti, 0, at(400))
+	}
+	_, verdict, _ := qu.Offer(request(First, at(1100)), 0, at(1100))
+	assert.NotEqual(t, Admitted, verdict, "the target got five at 300 ms")
+	assert.Len(t, qu.Advance(at(1300)).Admitted, 1)
+}
+
 func TestLeaveAndClear(t *testing.T) {
 	qu, _ := fill()
 	one, _, _ := qu.Offer(request(First, epoch), 1, epoch)
--- a/internal/admitter/cold.go
+++ b/internal/admitter/cold.go
@@ -1,6 +1,9 @@
 package admitter
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // rateWindow is the sliding window of the cold rate, which is a rate per second.
 const rateWindow = time.Second
@@ -25,12 +28,23 @@
 }
 
 // Hold counts the cold rate as used up, because the admissions of an earlier
-// process are not known.
+// process are not known. The rate may become known later.
 func (qu *Queue[T]) Hold(now time.Time) {
-	qu.starts = qu.starts[:0]
-	for range max(int(qu.coldRate), 1) {
-		qu.starts = append(qu.starts, now)
+	qu.heldUntil = now.Add(rateWindow)
+}
+
+// Sent moves the start of an admitted request to the time at which it is sent to
+// a cold target: opening a connection or a node that is scheduled late may put it
+// off into another second.
+func (qu *Queue[T]) Sent(ti *Ticket[T], now time.Time) {
+	if !qu.Cold(now) {
+		return
+	}
+	if nn := slices.Index(qu.starts, ti.started); nn >= 0 {
+		qu.starts = slices.Delete(qu.starts, nn, nn+1)
 	}
+	qu.starts = append(qu.starts, now)
+	ti.started = now
 }
 
 // Cold reports whether the target is cold.
@@ -64,12 +78,13 @@
 	burst := max(int(qu.coldRate), 1)
 	recent := qu.trimmed(now)
 	qu.starts = recent
+	held := max(qu.heldUntil.Sub(now), 0)
 	over := len(recent) + ahead - burst
-	if over < 0 {
-		return 0
-	}
-	if over < len(recent) {
-		return recent[over].Add(rateWindow).Sub(now)
+	switch {
+	case over < 0:
+		return held
+	case over < len(recent):
+		return max(recent[over].Add(rateWindow).Sub(now), held)
 	}
-	return time.Duration(float64(over+1) / qu.coldRate * float64(time.Second))
+	return held + time.Duration(float64(over+1)/qu.coldRate*float64(time.Second))
 }
--- a/internal/admitter/load_test.go
+++ b/internal/admitter/load_test.go
@@ -204,7 +204,8 @@
 }
 
 // After a power loss all targets are cold and get more requests than they bear.
-// The factor that they may get serves more of them, and no second goes beyond it.
+// The factor and the half of the slack that they may get serve more of them, and no
+// second goes beyond the rate.
 func TestColdTargetAfterPowerLoss(t *testing.T) {
 	const rate, factor, slack = 13.0, 1.5, 5.0
 	served := func(rate float64) int {
@@ -223,7 +224,7 @@
 					count++
 				}
 			}
-			assert.LessOrEqual(t, float64(count), rate+slack, "second from %s", first)
+			assert.LessOrEqual(t, float64(count), rate, "second from %s", first)
 		}
 		sum := 0
 		for ra := range got.inTime {
@@ -231,5 +232,7 @@
 		}
 		return sum
 	}
-	assert.GreaterOrEqual(t, float64(served(rate*factor)), 1.35*float64(served(rate)))
+	withFactor := float64(served(rate * factor))
+	assert.GreaterOrEqual(t, withFactor, 1.35*float64(served(rate)))
+	assert.GreaterOrEqual(t, float64(served(rate*factor+slack/2)), 1.1*withFactor)
 }
--- a/internal/carrier/average.go
+++ b/internal/carrier/average.go
@@ -25,6 +25,11 @@
 	maps.DeleteFunc(ca.calls, func(route string, _ float64) bool { return !names[route] })
 }
 
+// unknownWorkPart is the part of a route's objective that stands for the time of
+// its requests at a target before the first one: operators leave room for a wait
+// about as long.
+const unknownWorkPart = 0.5
+
 // expectedWork returns the expected time of the request at the own target.
 func (ca *Carrier) expectedWork(rq *request) time.Duration {
 	if rq.route == nil {
@@ -32,7 +37,10 @@
 	}
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	return ca.work[rq.route.Name]
+	if work, ok := ca.work[rq.route.Name]; ok {
+		return work
+	}
+	return time.Duration(unknownWorkPart * float64(rq.route.Objective))
 }
 
 // workWeight is the weight of the newest sample in the average work of a route.
--- a/internal/carrier/conn.go
+++ b/internal/carrier/conn.go
@@ -187,6 +187,8 @@
 	body   []byte
 	// idName is the header that a response repeats the ID in.
 	idName string
+	// sending, if set, is called just before the request is sent.
+	sending func()
 	// until bounds the wait for the response.
 	until time.Time
 }
@@ -221,6 +223,9 @@
 	defer writeBuffers.Put(bu)
 	bu.Reset()
 	ex.encode(bu)
+	if ex.sending != nil {
+		ex.sending()
+	}
 	nn, err := li.Write(bu.Bytes())
 	if err != nil {
 		return nil, false, nn > 0, fmt.Errorf("send the request: %w", err)
--- a/internal/carrier/conn_test.go
+++ b/internal/carrier/conn_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -55,6 +57,39 @@
 	return rq.Header.Get("X-Id"), true
 }
 
+// The time of sending is noted after a connection was opened, which may take long,
+// and only if there is one.
+func TestSendingAfterConnect(t *testing.T) {
+	opened := false
+	to := script(t, func(conn net.Conn, requests *bufio.Reader) {
+		id, _ := nextID(requests)
+		_, _ = conn.Write([]byte(response200(id, "a")))
+	})
+	po := newPool(to, time.Second)
+	po.dialer.ControlContext = func(context.Context, string, string, syscall.RawConn) error {
+		opened = true
+		return nil
+	}
+	ex := exchangeOf("1")
+	sendings := 0
+	ex.sending = func() {
+		assert.True(t, opened)
+		sendings++
+	}
+	_, _, err := po.send(t.Context(), ex, time.Now)
+	require.NoError(t, err)
+	assert.Equal(t, 1, sendings)
+
+	po.dialer.ControlContext = func(context.Context, string, string, syscall.RawConn) error {
+		return errors.New("no connection")
+	}
+	po.drop()
+	_, sent, err := po.send(t.Context(), ex, time.Now)
+	require.Error(t, err)
+	assert.False(t, sent)
+	assert.Equal(t, 1, sendings)
+}
+
 func TestSendReusesConnections(t *testing.T) {
 	conns := make(chan struct{}, 10)
 	to := script(t, func(conn net.Conn, requests *bufio.Reader) {
--- a/internal/carrier/first_test.go
+++ b/internal/carrier/first_test.go
@@ -79,6 +79,17 @@
 	assert.Empty(t, ca.work)
 }
 
+// After a restart nothing is known of the work: a request that can start late only
+// is refused rather than run past its objective.
+func TestExpectedWorkBeforeSamples(t *testing.T) {
+	ca := New(Config{Now: time.Now}, openGate(), nil, metrics.NewRegistry())
+	rq := &request{route: &matcher.Route{Name: "scan", Objective: 800 * time.Millisecond}}
+	assert.Equal(t, 400*time.Millisecond, ca.expectedWork(rq))
+	ca.addWork("scan", 300*time.Millisecond)
+	assert.Equal(t, 300*time.Millisecond, ca.expectedWork(rq))
+	assert.Zero(t, ca.expectedWork(&request{}))
+}
+
 func TestWarningsRoundTrip(t *testing.T) {
 	all := []placer.Warning{
 		{Target: "a", Age: 20 * time.Millisecond, Report: placer.Report{Slots: 9, Slowness: 4.5}},
--- a/internal/carrier/gate.go
+++ b/internal/carrier/gate.go
@@ -347,6 +347,14 @@
 	return ga.closed(rq)
 }
 
+// sending notes that the request of the pass is sent now.
+func (ga *Gate) sending(pa *pass) {
+	now := ga.now()
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.queue.Sent(pa.ticket, now)
+}
+
 // exit gives the slot back.
 func (ga *Gate) exit(pa *pass, worked time.Duration) {
 	now := ga.now()
--- a/internal/carrier/last.go
+++ b/internal/carrier/last.go
@@ -117,6 +117,7 @@
 	re, sent, err := ca.gate.pool.send(ctx, &exchange{
 		id: rq.id, idName: na.RequestID, method: rq.method, uri: rq.uri, host: rq.host,
 		header: rq.header, body: rq.body, until: rq.deadline.Add(answerSlack),
+		sending: func() { ca.gate.sending(pa) },
 		extra: [][2]string{
 			{na.Timeout, milliseconds(left)}, {na.Expected, pa.target}, {na.Caller, rq.caller},
 		},
--- a/internal/meshrunner/settings.go
+++ b/internal/meshrunner/settings.go
@@ -32,10 +32,27 @@
 	// ColdFactor is how many times the rate that a cold target is said to bear it
 	// may get.
 	ColdFactor float64
+	// ColdSlack is the number of requests by which a cold target may get more than
+	// that in one second.
+	ColdSlack float64
 	// Budget bounds repeated requests to a service over all nodes.
 	Budget budgeter.Config
 }
 
+// coldSlackPart is the part of ColdSlack that admissions use. The rest is for
+// requests that reach the target later than others after their admission, when a
+// connection has to be opened or the node is scheduled late.
+const coldSlackPart = 0.5
+
+// coldRate returns the admissions per second for a target that says the rate that
+// it bears while cold; zero is no limit.
+func (se *Settings) coldRate(rate float64) float64 {
+	if rate <= 0 {
+		return 0
+	}
+	return rate*se.ColdFactor + coldSlackPart*se.ColdSlack
+}
+
 // Check reports what is wrong with the settings.
 func (se *Settings) Check() error {
 	var errs []error
@@ -59,6 +76,9 @@
 	if se.ColdFactor < 1 {
 		errs = append(errs, fmt.Errorf("factor %v of the cold rate is below 1", se.ColdFactor))
 	}
+	if se.ColdSlack < 0 {
+		errs = append(errs, fmt.Errorf("slack %v of the cold rate is negative", se.ColdSlack))
+	}
 	if bu := &se.Budget; bu.Ratio < 0 || bu.Allowance < 0 || bu.Window <= 0 {
 		errs = append(errs, fmt.Errorf(
 			"retry budget: ratio %v, allowance %v, window %s out of range",
--- a/internal/meshrunner/view.go
+++ b/internal/meshrunner/view.go
@@ -232,7 +232,7 @@
 	guard := ve.Next != "" && ve.Next == own.Version
 	rules := carrier.Rules{Out: vi.Out[own.DataCentre], Barred: barred, Guard: guard}
 	if service := vi.Config.Services[own.Service]; service != nil {
-		rules.ColdRate = service.ColdRate * ru.settings.Load().ColdFactor
+		rules.ColdRate = ru.settings.Load().coldRate(service.ColdRate)
 	}
 	ru.gate.Permit(rules)
 }
