--- a/internal/demonstrator/steps.go
+++ b/internal/demonstrator/steps.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/guavastall/guavastall/internal/sleeper"
 	"github.com/guavastall/guavastall/internal/targetserver"
 	"github.com/guavastall/guavastall/pkg/checker"
 	"github.com/guavastall/guavastall/pkg/operator"
@@ -174,11 +175,11 @@
 		return err
 	}
 	de.say("took %s out", dc)
-	if !sleep(ctx, outLimit) {
+	if !sleeper.Sleep(ctx, outLimit) {
 		return ctx.Err()
 	}
 	before := de.callsIn(dc)
-	if !sleep(ctx, outLimit) {
+	if !sleeper.Sleep(ctx, outLimit) {
 		return ctx.Err()
 	}
 	de.check(de.callsIn(dc) == before, "%s got %d calls between %v and %v after it was taken out",
@@ -186,22 +187,10 @@
 	if _, err := cl.SetDataCentre(ctx, dc, false); err != nil {
 		return err
 	}
-	if !sleep(ctx, outLimit) {
+	if !sleeper.Sleep(ctx, outLimit) {
 		return ctx.Err()
 	}
 	de.check(de.callsIn(dc) > before, "%s is back and got %d calls in %v", dc,
 		de.callsIn(dc)-before, outLimit)
 	return nil
 }
-
-// sleep waits and reports whether the context is still open.
-func sleep(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/distributor/distributor.go
+++ b/internal/distributor/distributor.go
@@ -340,13 +340,3 @@
 	defer ds.mu.Unlock()
 	change(&ds.stats)
 }
-
-// sleep waits for the time or until the context ends.
-func sleep(ctx context.Context, du time.Duration) {
-	timer := time.NewTimer(du)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/distributor/read.go
+++ b/internal/distributor/read.go
@@ -11,6 +11,7 @@
 	"github.com/guavastall/guavastall/internal/elector"
 	"github.com/guavastall/guavastall/internal/reducer"
 	"github.com/guavastall/guavastall/internal/relayer"
+	"github.com/guavastall/guavastall/internal/sleeper"
 )
 
 const (
@@ -35,7 +36,7 @@
 			if de.Read {
 				wait = min(wait, de.Wait)
 			}
-			sleep(ctx, wait)
+			sleeper.Sleep(ctx, wait)
 			continue
 		}
 		started := ds.config.Now()
--- a/internal/distributor/upkeep.go
+++ b/internal/distributor/upkeep.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	"github.com/guavastall/guavastall/internal/reducer"
+	"github.com/guavastall/guavastall/internal/sleeper"
 	"github.com/guavastall/guavastall/pkg/checker"
 )
 
@@ -82,7 +83,7 @@
 	ch.announceAt = ds.config.Now().Add(rand.N(ds.config.AnnounceEvery))
 	ch.spread()
 	for ctx.Err() == nil {
-		sleep(ctx, ds.config.Tick)
+		sleeper.Sleep(ctx, ds.config.Tick)
 		if !ds.Reading() || ctx.Err() != nil {
 			ch.known, ch.lookAt = false, time.Time{}
 			continue
@@ -90,7 +91,7 @@
 		for _, fn := range []func(context.Context) error{ch.announce, ch.logFacts, ch.checkpoint} {
 			if err := fn(ctx); err != nil && ctx.Err() == nil {
 				ds.config.Logger.WithError(err).Warn("upkeep of the log failed")
-				sleep(ctx, rand.N(factDelay))
+				sleeper.Sleep(ctx, rand.N(factDelay))
 			}
 		}
 	}
--- a/internal/forwarder/first.go
+++ b/internal/forwarder/first.go
@@ -9,6 +9,7 @@
 	"github.com/guavastall/guavastall/internal/recorder"
 	"github.com/guavastall/guavastall/internal/retrier"
 	"github.com/guavastall/guavastall/internal/router"
+	"github.com/guavastall/guavastall/internal/sleeper"
 	"github.com/guavastall/guavastall/pkg/checker"
 )
 
@@ -100,7 +101,7 @@
 		jo.finish(rp, rp.endOf())
 		de := jo.next(rp)
 		last = failure{err: rp.err, outcome: rp.outcome, marked: de.Mark || rp.marked}
-		if !de.Again || !jo.call.body.repeatable() || !pause(ctx, de.Delay) {
+		if !de.Again || !jo.call.body.repeatable() || !sleeper.Sleep(ctx, de.Delay) {
 			return nil, jo.conclude(last)
 		}
 	}
@@ -228,18 +229,3 @@
 	fw.parts.Loads.End(rp.endpoint.Node, rp.report, now)
 	fw.parts.Observer.Observe(ob)
 }
-
-// pause waits and reports whether the context is still open.
-func pause(ctx context.Context, du time.Duration) bool {
-	if du <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(du)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/meshrunner/member.go
+++ b/internal/meshrunner/member.go
@@ -11,6 +11,7 @@
 
 	"github.com/guavastall/guavastall/internal/registrar"
 	"github.com/guavastall/guavastall/internal/replicator"
+	"github.com/guavastall/guavastall/internal/sleeper"
 )
 
 // Heartbeat takes a heartbeat of the own target. The error says why it was not
@@ -123,7 +124,7 @@
 			if err == nil && !again {
 				break
 			}
-			pause(ctx, publishRetry)
+			sleeper.Sleep(ctx, publishRetry)
 		}
 	}
 }
@@ -183,13 +184,3 @@
 	}).Info("entry published")
 	return false, nil
 }
-
-// pause waits for the duration or the end of the context.
-func pause(ctx context.Context, du time.Duration) {
-	timer := time.NewTimer(du)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/replicator/follower.go
+++ b/internal/replicator/follower.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/guavastall/guavastall/internal/sleeper"
 )
 
 // ErrTrimmed says that the store has dropped the records asked for.
@@ -104,7 +106,7 @@
 		for failures := 1; err != nil && ctx.Err() == nil; failures++ {
 			fo.note(err)
 			// The time that a call hung counts: the store may be back since.
-			sleep(ctx, pause/2+rand.N(pause)-fo.config.Now().Sub(began))
+			sleeper.Sleep(ctx, pause/2+rand.N(pause)-fo.config.Now().Sub(began))
 			pause = min(pause*3/2, maxRetryTime)
 			began = fo.config.Now()
 			err = fo.retry(ctx, failures)
@@ -115,7 +117,7 @@
 		fo.note(nil)
 		var rest time.Duration
 		rest, wait = fo.config.pace(fo.config.Now().Sub(began))
-		sleep(ctx, rest)
+		sleeper.Sleep(ctx, rest)
 	}
 }
 
@@ -289,16 +291,3 @@
 		entry.Info("store regained")
 	}
 }
-
-// sleep waits for the duration or the end of the context.
-func sleep(ctx context.Context, du time.Duration) {
-	if du <= 0 {
-		return
-	}
-	timer := time.NewTimer(du)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/replicator/silent_test.go
+++ b/internal/replicator/silent_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
+
+	"github.com/guavastall/guavastall/internal/sleeper"
 )
 
 // silentStore answers no call that began before it is back; such calls hang as long
@@ -38,7 +40,7 @@
 func (ss *silentStore) Read(ctx context.Context, _ uint64, wait time.Duration) (Snapshot, error) {
 	sn, err := ss.call(ctx)
 	if err == nil {
-		sleep(ctx, wait)
+		sleeper.Sleep(ctx, wait)
 	}
 	return sn, err
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -37,6 +37,7 @@
 	"github.com/guavastall/guavastall/internal/promoter"
 	"github.com/guavastall/guavastall/internal/recorder"
 	"github.com/guavastall/guavastall/internal/router"
+	"github.com/guavastall/guavastall/internal/sleeper"
 )
 
 const (
@@ -366,7 +367,7 @@
 	no.gossiper.Drain()
 	// Refusals are true and cheap, but a peer that knows of the drain does not
 	// need one.
-	pause(ctx, drainNotice)
+	sleeper.Sleep(ctx, drainNotice)
 	leave, stopWaiting := context.WithTimeout(ctx, leaveTime)
 	defer stopWaiting()
 	stopped := make(chan error, 1)
--- a/internal/runner/table.go
+++ b/internal/runner/table.go
@@ -12,6 +12,7 @@
 	"github.com/guavastall/guavastall/internal/limiter"
 	"github.com/guavastall/guavastall/internal/reducer"
 	"github.com/guavastall/guavastall/internal/router"
+	"github.com/guavastall/guavastall/internal/sleeper"
 	"github.com/guavastall/guavastall/pkg/checker"
 )
 
@@ -98,24 +99,12 @@
 		case <-stateChanged:
 		case <-membersChanged:
 		}
-		if !pause(ctx, tablePause) {
+		if !sleeper.Sleep(ctx, tablePause) {
 			return
 		}
 	}
 }
 
-// pause waits and reports whether the context is still open.
-func pause(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // buildTable puts a table of the state and the members in force.
 func (no *Node) buildTable(state *reducer.State, members []detector.Member, now time.Time) {
 	for _, node := range no.seen.forget(members) {
--- a/internal/targetserver/targetserver.go
+++ b/internal/targetserver/targetserver.go
@@ -20,6 +20,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/guavastall/guavastall/internal/sleeper"
 	"github.com/guavastall/guavastall/pkg/checker"
 )
 
@@ -179,7 +180,7 @@
 	if fault.Kind == FaultSlow {
 		work += time.Duration(fault.Delay)
 	}
-	if !sleep(ctx, work) {
+	if !sleeper.Sleep(ctx, work) {
 		http.Error(w, "deadline passed or caller left", http.StatusGatewayTimeout)
 		return
 	}
@@ -308,20 +309,6 @@
 	return sv.now().Sub(sv.started) < time.Duration(sv.settings.ColdTime)
 }
 
-func sleep(ctx context.Context, du time.Duration) bool {
-	if du <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(du)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // current returns the report that is visible now, given the lag.
 func (sv *Server) current() (report, Settings) {
 	sv.mu.Lock()
