Do not hold back a target that started with its node

Cause: since Hold holds also when the rate becomes known later, a node that starts together with its target after a power loss kept it idle for a second: heartbeats are repeated until the node takes them, so that the first one heard had a number above 2 (29 of 67 had 3, two had 4), and the restored entry of the earlier incarnation held as well.

A hold ends with an incarnation that has not been up for longer than the process, and counts from the start of the process. TestGateHoldsBackAfterRestart fails with the former code.

--- a/internal/admitter/cold.go
+++ b/internal/admitter/cold.go
@@ -27,10 +27,16 @@
 	qu.coldRate = rate
 }
 
-// Hold counts the cold rate as used up, because the admissions of an earlier
-// process are not known. The rate may become known later.
-func (qu *Queue[T]) Hold(now time.Time) {
-	qu.heldUntil = now.Add(rateWindow)
+// Hold counts the cold rate as used up at the time, because the admissions of an
+// earlier process, which had ended by then, are not known. The rate may become
+// known later.
+func (qu *Queue[T]) Hold(ended time.Time) {
+	qu.heldUntil = ended.Add(rateWindow)
+}
+
+// Release ends a hold, because the target is known to have got nothing yet.
+func (qu *Queue[T]) Release() {
+	qu.heldUntil = time.Time{}
 }
 
 // Sent moves the start of an admitted request to the time at which it is sent to
--- a/internal/carrier/gate.go
+++ b/internal/carrier/gate.go
@@ -23,6 +23,9 @@
 	// one that is first heard of with a greater number may have been sent requests
 	// by an earlier process of this node.
 	firstSequences = 2
+	// leastRestart is the least time between the end of a node's process and the
+	// start of the next one, which loads the program and reads the settings.
+	leastRestart = 250 * time.Millisecond
 	// sweepTime is how often waiting requests are looked through.
 	sweepTime = 50 * time.Millisecond
 	// leavingRetry is when a caller may try again after a node or a target that
@@ -43,6 +46,8 @@
 type Gate struct {
 	now  func() time.Time
 	pool *pool
+	// began is when this process began, and an earlier one had ended.
+	began time.Time
 
 	mu    sync.Mutex
 	own   registrar.Own
@@ -71,7 +76,7 @@
 	po := newPool(target, targetDialTimeout)
 	po.maxIdle = maxIdle
 	ga := &Gate{
-		now: now, pool: po, queue: admitter.New[*waiter](1),
+		now: now, began: now(), pool: po, queue: admitter.New[*waiter](1),
 		collector: stager.NewCollector(), runs: map[string]*run{},
 		pace: new(admitter.Pace),
 	}
@@ -86,8 +91,8 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	before := ga.own.Current()
-	if before.State == registrar.Unknown && he.Sequence > firstSequences {
-		ga.queue.Hold(now)
+	if before.State == registrar.Unknown && !ga.untouched(he, now) {
+		ga.queue.Hold(ga.began)
 	}
 	verdict := ga.own.Heartbeat(he)
 	if verdict == registrar.Stale {
@@ -97,6 +102,9 @@
 		ga.queue.SetSlots(he.Slots)
 		if before.ID != he.ID || !before.Born.Equal(he.Born) {
 			ga.replaced()
+			if ga.untouched(he, now) {
+				ga.queue.Release()
+			}
 		}
 		if ga.own.Current().State == registrar.Leaving {
 			ga.refuseWaiting(answerer.Draining, "the target leaves")
@@ -110,6 +118,15 @@
 	return verdict
 }
 
+// untouched reports whether no earlier process of this node can have sent the
+// incarnation a request: it has just started, or has not been up for longer than
+// this process. After a power loss both start together, and heartbeats are repeated
+// until the node takes them.
+func (ga *Gate) untouched(he registrar.Heartbeat, now time.Time) bool {
+	return he.Sequence <= firstSequences ||
+		now.Sub(he.Born) <= now.Sub(ga.began)+leastRestart
+}
+
 // replaced forgets what was known of the previous incarnation.
 func (ga *Gate) replaced() {
 	ga.collector = stager.NewCollector()
@@ -140,7 +157,7 @@
 	if ga.own.Current().State == registrar.Unknown {
 		ga.own.Restore(in)
 		ga.queue.SetSlots(in.Slots)
-		ga.queue.Hold(ga.now())
+		ga.queue.Hold(ga.began)
 	}
 }
 
--- a/internal/carrier/gate_test.go
+++ b/internal/carrier/gate_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/guavastall/guavastall/internal/admitter"
 	"github.com/guavastall/guavastall/internal/answerer"
 	"github.com/guavastall/guavastall/internal/matcher"
 	"github.com/guavastall/guavastall/internal/placer"
@@ -102,6 +103,46 @@
 	assert.Nil(t, rs)
 }
 
+// A restarted node gives a cold target nothing for a second from its own start on,
+// unless the target has just started too: after a power loss each second counts.
+func TestGateHoldsBackAfterRestart(t *testing.T) {
+	start := time.Unix(1_000, 0)
+	earlier := heartbeat("a", 7)
+	earlier.Born = start.Add(-time.Minute)
+	restarted := func(he registrar.Heartbeat) (*Gate, *time.Time) {
+		now := start
+		ga := NewGate(netip.MustParseAddrPort("127.0.0.1:1"), func() time.Time { return now })
+		now = now.Add(400 * time.Millisecond)
+		ga.Restore(registrar.Instance{Heartbeat: earlier, State: registrar.Ready})
+		he.ColdLeft = 3 * time.Second
+		ga.Heartbeat(he)
+		ga.Permit(Rules{ColdRate: 10})
+		return ga, &now
+	}
+	admitted := func(ga *Gate) bool {
+		ga.mu.Lock()
+		defer ga.mu.Unlock()
+		return ga.queue.Wait(admitter.First, ga.now()) == 0
+	}
+	again := earlier
+	again.Sequence++
+	ga, now := restarted(again)
+	assert.False(t, admitted(ga), "the earlier process may have used the rate")
+	*now = start.Add(time.Second)
+	assert.True(t, admitted(ga))
+
+	fresh := heartbeat("b", 1)
+	ga, _ = restarted(fresh)
+	assert.True(t, admitted(ga), "a target that has just started")
+	fresh.Sequence = 4
+	fresh.Born = start.Add(-100 * time.Millisecond)
+	ga, _ = restarted(fresh)
+	assert.True(t, admitted(ga), "a target that started with the node")
+	fresh.Born = start.Add(-time.Second)
+	ga, _ = restarted(fresh)
+	assert.False(t, admitted(ga), "a target that the earlier process may have known")
+}
+
 // A request for an earlier incarnation runs at the one that took its place in
 // the same service, unless a rollout of its version is under way.
 func TestGateStandsIn(t *testing.T) {
