--- a/internal/meshrunner/settings.go
+++ b/internal/meshrunner/settings.go
@@ -39,9 +39,8 @@
 	Budget budgeter.Config
 }
 
-// coldSlackPart is the part of ColdSlack that admissions use. The rest is for
-// requests that reach the target later than others after their admission, when a
-// connection has to be opened or the node is scheduled late.
+// coldSlackPart is the part of ColdSlack that is used. The rest is for requests that
+// a node that is scheduled late writes after they were counted.
 const coldSlackPart = 0.5
 
 // coldRate returns the admissions per second for a target that says the rate that
