--- a/internal/meshrunner/keep.go
+++ b/internal/meshrunner/keep.go
@@ -160,17 +160,36 @@
 	}
 	id, cold, err := ru.health(ctx, path)
 	if err != nil {
-		ru.Log.WithError(err).WithField("target", in.ID).Info("target not verified")
+		if ru.unverified.changed(in.ID, "error") {
+			ru.Log.WithError(err).WithField("target", in.ID).Info("target not verified")
+		}
 		return false
 	}
-	ok := ru.gate.Verify(id, cold)
-	if ok {
-		ru.setDown(false)
+	if !ru.gate.Verify(id, cold) {
+		if ru.unverified.changed(in.ID, id) {
+			ru.Log.WithField("target", in.ID).WithField("found", id).Info("target not verified")
+		}
+		return false
 	}
-	ru.Log.WithFields(logrus.Fields{
-		"target": in.ID, "found": id, "coldMs": cold.Milliseconds(), "verified": ok,
-	}).Info("target verified")
-	return ok
+	ru.unverified = failedCheck{}
+	ru.setDown(false)
+	ru.Log.WithField("target", in.ID).WithField("coldMs", cold.Milliseconds()).
+		Info("target verified")
+	return true
+}
+
+// failedCheck is the last health check that failed, for the log: a target that is
+// gone is checked several times a second.
+type failedCheck struct {
+	target, reason string
+}
+
+// changed notes a failed check and reports whether it differs from the one before.
+func (fc *failedCheck) changed(target, reason string) bool {
+	next := failedCheck{target, reason}
+	same := *fc == next
+	*fc = next
+	return !same
 }
 
 // setDown tells other nodes whether the target can be used.
--- a/internal/meshrunner/member_test.go
+++ b/internal/meshrunner/member_test.go
@@ -32,3 +32,12 @@
 		assert.Equal(t, tc.stands, pu.stands(tc.entry, tc.record), name)
 	}
 }
+
+// A target that is gone is logged once, not at every check.
+func TestFailedCheckLoggedOnce(t *testing.T) {
+	var fc failedCheck
+	assert.True(t, fc.changed("a", "error"))
+	assert.False(t, fc.changed("a", "error"))
+	assert.True(t, fc.changed("a", "b"), "another target answers")
+	assert.True(t, fc.changed("c", "b"))
+}
--- a/internal/meshrunner/meshrunner.go
+++ b/internal/meshrunner/meshrunner.go
@@ -124,6 +124,8 @@
 	leaving atomic.Bool
 	// down says that the own target fails its health checks.
 	down atomic.Bool
+	// unverified is the last failed check of the target; only keep uses it.
+	unverified failedCheck
 }
 
 // New returns a node with checked settings.
