--- a/internal/ticker/ticker.go
+++ b/internal/ticker/ticker.go
@@ -23,7 +23,7 @@
 // is being measured. It is safe for concurrent use.
 type Ticker struct {
 	now   func() time.Time
-	after func(time.Duration, func()) // time.AfterFunc but for tests
+	after func(time.Duration, func()) // time.AfterFunc; tests set their own
 
 	mu     sync.Mutex
 	active int
