--- a/internal/placer/warning.go
+++ b/internal/placer/warning.go
@@ -1,6 +1,10 @@
 package placer
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// troubledSlowness is the slowness from which nodes tell each other about a
@@ -20,7 +24,7 @@
 	Age    time.Duration
 }
 
-// Warnings returns recent reports of troubled targets for another node. In a large
+// Warnings returns the newest reports of troubled targets for another node. In a large
 // data centre a node sends each target a request every few seconds only, and
 // would find out by itself that one is slow at the cost of a late request. There
 // is nothing to pass on while no target is troubled.
@@ -33,11 +37,12 @@
 			delete(pl.troubled, id)
 			continue
 		}
-		if len(all) < maxWarnings {
-			all = append(all, Warning{Target: id, Report: lo.report, Age: age})
-		}
+		all = append(all, Warning{Target: id, Report: lo.report, Age: age})
 	}
-	return all
+	slices.SortFunc(all, func(a, b Warning) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Target, b.Target))
+	})
+	return all[:min(len(all), maxWarnings)]
 }
 
 // Warn takes a report that another node passed on, unless a newer one is known.
--- a/internal/placer/warning_test.go
+++ b/internal/placer/warning_test.go
@@ -127,3 +127,17 @@
 	assert.Len(t, pl.Warnings(epoch.Add(2*time.Second)), 1)
 	assert.Empty(t, pl.Warnings(epoch.Add(2*time.Second+2*warningTime)))
 }
+
+// Where there are more troubled targets than fit, the newest reports are passed on.
+func TestWarningsNewestFirst(t *testing.T) {
+	pl := newPlacer()
+	for nn := range maxWarnings + 2 {
+		at := epoch.Add(time.Duration(nn) * time.Millisecond)
+		report(pl, target(nn, "a"), Report{Slowness: 5}, at)
+	}
+	all := pl.Warnings(epoch.Add(time.Second))
+	if assert.Len(t, all, maxWarnings) {
+		assert.Equal(t, "t5", all[0].Target)
+		assert.Equal(t, "t2", all[maxWarnings-1].Target)
+	}
+}
