Hold back a cold target from the start of the process in one place

The hold of an earlier process's cold rate was set at the first heartbeat and at a restored entry, and ended at the next incarnation. Every process begins with it now, and only the last of these is left. Behaviour is the same; TestGateHoldsBackAfterRestart also covers a node that restored nothing.

--- a/internal/carrier/gate.go
+++ b/internal/carrier/gate.go
@@ -80,6 +80,8 @@
 		collector: stager.NewCollector(), runs: map[string]*run{},
 		pace: new(admitter.Pace),
 	}
+	// An earlier process may have sent the target its cold rate until then.
+	ga.queue.Hold(ga.began)
 	ga.wake = time.AfterFunc(time.Hour, ga.advance)
 	ga.wake.Stop()
 	return ga
@@ -91,9 +93,6 @@
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	before := ga.own.Current()
-	if before.State == registrar.Unknown && !ga.untouched(he, now) {
-		ga.queue.Hold(ga.began)
-	}
 	verdict := ga.own.Heartbeat(he)
 	if verdict == registrar.Stale {
 		return verdict
@@ -157,7 +156,6 @@
 	if ga.own.Current().State == registrar.Unknown {
 		ga.own.Restore(in)
 		ga.queue.SetSlots(in.Slots)
-		ga.queue.Hold(ga.began)
 	}
 }
 
--- a/internal/carrier/gate_test.go
+++ b/internal/carrier/gate_test.go
@@ -141,6 +141,12 @@
 	fresh.Born = start.Add(-time.Second)
 	ga, _ = restarted(fresh)
 	assert.False(t, admitted(ga), "a target that the earlier process may have known")
+
+	ga = NewGate(netip.MustParseAddrPort("127.0.0.1:1"), func() time.Time { return start })
+	fresh.ColdLeft = 3 * time.Second
+	ga.Heartbeat(fresh)
+	ga.Permit(Rules{ColdRate: 10})
+	assert.False(t, admitted(ga), "nothing was restored")
 }
 
 // A request for an earlier incarnation runs at the one that took its place in
