Do not ask again for a hedge that can never be allowed

Since the endpoint is looked for before the budget pays, a late attempt whose call has no attempt left looked for one every 2 ms until its end, in vain. Which calls are hedged does not change.

--- a/internal/forwarder/hedge.go
+++ b/internal/forwarder/hedge.go
@@ -82,7 +82,10 @@
 		Expected: jo.fw.expected(jo.plan.Service),
 		Elapsed:  now.Sub(began), HedgeAllowed: true,
 	}, now)
-	if !de.Again {
+	switch {
+	case de.Reason == retrier.NotIdempotent, de.Reason == retrier.NoAttemptLeft:
+		return 0 // time does not change these
+	case !de.Again:
 		return max(de.Delay, hedgePeriod)
 	}
 	jo.number++
