One moving average by route, one wait of a backoff

The averages of work and of calls were moved by two copies of one formula and dropped by three; the backoff waited with its own copy of sleeper.Sleep. The first work sample counts as known even if it is zero, as the first count of calls did.

--- a/internal/appender/appender.go
+++ b/internal/appender/appender.go
@@ -21,6 +21,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/guavastall/guavastall/internal/sleeper"
 )
 
 // Defaults of [Config].
@@ -348,14 +350,10 @@
 // Wait waits a random part of the limit. It returns early with the context's
 // error when that ends.
 func (bo Backoff) Wait(ctx context.Context, attempt int) error {
-	timer := time.NewTimer(rand.N(bo.Limit(attempt)) + 1)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !sleeper.Sleep(ctx, rand.N(bo.Limit(attempt))+1) {
 		return ctx.Err()
 	}
+	return nil
 }
 
 // Last returns up to count of the newest records of a stream, oldest first.
--- a/internal/carrier/average.go
+++ b/internal/carrier/average.go
@@ -17,12 +17,26 @@
 		names[ro.Name] = true
 	}
 	ca.placer.KeepRoutes(names)
-	for _, averages := range []map[string]time.Duration{ca.usual, ca.work} {
-		maps.DeleteFunc(averages, func(route string, _ time.Duration) bool {
-			return !names[route]
-		})
+	keep(ca.usual, names)
+	keep(ca.work, names)
+	keep(ca.calls, names)
+}
+
+func keep[T any](averages map[string]T, routes map[string]bool) {
+	maps.DeleteFunc(averages, func(route string, _ T) bool { return !routes[route] })
+}
+
+// averageWeight is the weight of the newest sample in the average work of a route
+// and in the average calls of its runs.
+const averageWeight = 0.1
+
+// learn moves the average of the route by a sample; the first one is the average.
+func learn[T ~int64 | ~float64](averages map[string]T, route string, sample T) {
+	old, ok := averages[route]
+	if !ok {
+		old = sample
 	}
-	maps.DeleteFunc(ca.calls, func(route string, _ float64) bool { return !names[route] })
+	averages[route] = old + T(averageWeight*float64(sample-old))
 }
 
 // unknownWorkPart is the part of a route's objective that stands for the time of
@@ -43,17 +57,11 @@
 	return time.Duration(unknownWorkPart * float64(rq.route.Objective))
 }
 
-// workWeight is the weight of the newest sample in the average work of a route.
-const workWeight = 0.1
-
+// addWork takes the time of a request of the route at the own target.
 func (ca *Carrier) addWork(route string, took time.Duration) {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	old := ca.work[route]
-	if old == 0 {
-		old = took
-	}
-	ca.work[route] = old + time.Duration(workWeight*float64(took-old))
+	learn(ca.work, route, took)
 }
 
 // usualWork returns the average time of the route's requests at all targets.
@@ -70,18 +78,11 @@
 	return ca.placer.Seen(route)
 }
 
-// callsWeight is the weight of the newest sample in the average calls of a run.
-const callsWeight = 0.1
-
 // sawCalls takes the number of calls of a run of the route.
 func (ca *Carrier) sawCalls(route string, calls float64) {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	old, ok := ca.calls[route]
-	if !ok {
-		old = calls
-	}
-	ca.calls[route] = old + callsWeight*(calls-old)
+	learn(ca.calls, route, calls)
 }
 
 // expectedCalls returns the expected number of calls of a run of the route;
