--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -140,11 +140,7 @@
 	qu := New[int](18)
 	qu.SetColdRate(30)
 	qu.Hold(epoch)
-	qu.SetCold(at(3000))
-	_, verdict, _ := qu.Offer(request(First, epoch), 0, epoch)
-	assert.NotEqual(t, Admitted, verdict)
-	_, verdict, _ = qu.Offer(request(First, at(1001)), 0, at(1001))
-	assert.Equal(t, Admitted, verdict)
+	assertHeld(t, qu)
 }
 
 // The rate is used up too if it becomes known after the restart.
@@ -152,6 +148,13 @@
 	qu := New[int](18)
 	qu.Hold(epoch)
 	qu.SetColdRate(30)
+	assertHeld(t, qu)
+}
+
+// assertHeld checks that the queue's cold target gets nothing within a second of
+// the epoch, and something afterwards.
+func assertHeld(t *testing.T, qu *Queue[int]) {
+	t.Helper()
 	qu.SetCold(at(3000))
 	_, verdict, _ := qu.Offer(request(First, epoch), 0, epoch)
 	assert.NotEqual(t, Admitted, verdict)
--- a/internal/admitter/pace_test.go
+++ b/internal/admitter/pace_test.go
@@ -44,15 +44,21 @@
 	}
 }
 
-// A target that fails its requests at once is neither fast nor slow.
-func TestPaceOfFailures(t *testing.T) {
+// slownessOfBad returns the slowness after 100 requests without a good response, one
+// each so many milliseconds, that are expected to take 100 ms and end earlier.
+func slownessOfBad(periodMs int, took time.Duration) float64 {
 	var pa Pace
 	for nn := range 100 {
-		now := at(10 * nn)
+		now := at(periodMs * nn)
 		pa.Begin(100*time.Millisecond, now)
-		pa.End(100*time.Millisecond, false, now, now.Add(5*time.Millisecond))
+		pa.End(100*time.Millisecond, false, now, now.Add(took))
 	}
-	assert.InDelta(t, 1, pa.Slowness(at(1000)), 0.1)
+	return pa.Slowness(at(periodMs * 100))
+}
+
+// A target that fails its requests at once is neither fast nor slow.
+func TestPaceOfFailures(t *testing.T) {
+	assert.InDelta(t, 1, slownessOfBad(10, 5*time.Millisecond), 0.1)
 }
 
 // A node that has just started does not know what is usual.
@@ -74,11 +80,5 @@
 
 // Clients that leave early do not make a target slow.
 func TestPaceOfWithdrawnRequests(t *testing.T) {
-	var pa Pace
-	for nn := range 100 {
-		now := at(20 * nn)
-		pa.Begin(100*time.Millisecond, now)
-		pa.End(100*time.Millisecond, false, now, now.Add(15*time.Millisecond))
-	}
-	assert.InDelta(t, 1, pa.Slowness(at(2000)), 0.2)
+	assert.InDelta(t, 1, slownessOfBad(20, 15*time.Millisecond), 0.2)
 }
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -247,16 +247,22 @@
 	<-done
 }
 
-// Guards against a late attempt that never gets a hedge because no other
-// endpoint was free when it was first looked for.
-func TestHedgeWaitsForEndpoint(t *testing.T) {
-	_, slowAddress := startTarget(t, func(se *targetserver.Settings) {
+// startHedging starts a target that hangs, a first node that hedges, and the nodes
+// of this target and of a sound one.
+func startHedging(t *testing.T) (slow *targetserver.Server, first, stuck, good *node) {
+	slow, slowAddress := startTarget(t, func(se *targetserver.Settings) {
 		se.Faults = []targetserver.Fault{{Kind: targetserver.FaultHang}}
 	})
 	_, fastAddress := startTarget(t, nil)
-	stuck := startNode(t, options{target: slowAddress})
-	good := startNode(t, options{target: fastAddress})
-	first := startNode(t, options{hedgeAfter: 5 * time.Millisecond})
+	stuck = startNode(t, options{target: slowAddress})
+	good = startNode(t, options{target: fastAddress})
+	return slow, startNode(t, options{hedgeAfter: 5 * time.Millisecond}), stuck, good
+}
+
+// Guards against a late attempt that never gets a hedge because no other
+// endpoint was free when it was first looked for.
+func TestHedgeWaitsForEndpoint(t *testing.T) {
+	_, first, stuck, good := startHedging(t)
 	var picks atomic.Int64
 	first.setTable(func(ta *testTable) {
 		ta.profile.Routing.Hedge = true
@@ -269,13 +275,7 @@
 // Guards against a hedge that does not start, that runs for a call that is not
 // idempotent, or whose loser goes on.
 func TestHedge(t *testing.T) {
-	slow, slowAddress := startTarget(t, func(se *targetserver.Settings) {
-		se.Faults = []targetserver.Fault{{Kind: targetserver.FaultHang}}
-	})
-	_, fastAddress := startTarget(t, nil)
-	stuck := startNode(t, options{target: slowAddress})
-	good := startNode(t, options{target: fastAddress})
-	first := startNode(t, options{hedgeAfter: 5 * time.Millisecond})
+	slow, first, stuck, good := startHedging(t)
 	hedge := func(ta *testTable) { ta.profile.Routing.Hedge = true }
 	first.setTable(hedge, stuck.id, good.id)
 	an := get(t, first.caller, "/scan", "a")
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -27,6 +27,24 @@
 	return New(rand.New(rand.NewPCG(1, 1)))
 }
 
+// newPlacers returns the placers of several nodes.
+func newPlacers(rd *rand.Rand, count int) []*Placer {
+	pls := make([]*Placer, count)
+	for nn := range pls {
+		pls[nn] = New(rand.New(rand.NewPCG(rd.Uint64(), 1)))
+	}
+	return pls
+}
+
+// targetsOf returns targets of one data centre.
+func targetsOf(count int) []Target {
+	targets := make([]Target, count)
+	for nn := range targets {
+		targets[nn] = target(nn, "a")
+	}
+	return targets
+}
+
 func request() Request {
 	return Request{
 		DataCentre: "a", Route: "r", Rank: admitter.First, Own: node(99),
@@ -151,14 +169,8 @@
 	t.Helper()
 	rd := rand.New(rand.NewPCG(7, 8))
 	const placers, slots, perMs = 4, 10, 0.7 // 800 a second fit
-	var pls []*Placer
-	for range placers {
-		pls = append(pls, New(rand.New(rand.NewPCG(rd.Uint64(), 1))))
-	}
-	var targets []Target
-	for nn := range speeds {
-		targets = append(targets, target(nn, "a"))
-	}
+	pls := newPlacers(rd, placers)
+	targets := targetsOf(len(speeds))
 	type run struct{ target, placer, begun, took int }
 	busy, waiting := make([]int, len(speeds)), make([][]run, len(speeds))
 	ends := map[int][]run{}
--- a/internal/placer/warning_test.go
+++ b/internal/placer/warning_test.go
@@ -26,14 +26,8 @@
 	const placers, count, slow, slots = 40, 30, 5, 18
 	const perMs, usual, factor, ticks = 0.5, 250, 12, 10_000
 	rd := rand.New(rand.NewPCG(5, 6))
-	var pls []*Placer
-	for range placers {
-		pls = append(pls, New(rand.New(rand.NewPCG(rd.Uint64(), 1))))
-	}
-	var targets []Target
-	for nn := range count {
-		targets = append(targets, target(nn, "a"))
-	}
+	pls := newPlacers(rd, placers)
+	targets := targetsOf(count)
 	index := map[string]int{}
 	for nn := range targets {
 		targets[nn].Slots = slots
