Mend three causes behind four known red tests

Change: the target's node tells how long the target took; indirect probes are not repeated; Run waits for its servers.

--- a/internal/forwarder/first.go
+++ b/internal/forwarder/first.go
@@ -193,7 +193,7 @@
 	rp := &reply{began: now, endpoint: en}
 	ho.id = di.call.id
 	if rp.roundTrip(ctx, di.call, fw.peer(en.Node), ho) {
-		rp.fromPeer(ctx, di.call.id)
+		rp.fromPeer(ctx, di.call.id, fw.config.Now)
 	} else if rp.outcome == retrier.Unknown &&
 		answerer.KindOf(rp.err) == answerer.DeadlineExceeded {
 		// The peer did not respond. Other idle connections to it may be broken
@@ -213,7 +213,7 @@
 	ob := Observation{
 		Service: di.plan.Service, Route: di.plan.Route.Name, Move: di.plan.Move,
 		Version: rp.endpoint.Version, Outcome: rp.outcome, Cold: rp.report.Cold,
-		Cancelled: en == neutral, Latency: latency,
+		Cancelled: en == neutral, Latency: rp.processingTime(now),
 	}
 	switch en {
 	case complete:
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -98,7 +98,8 @@
 	// Cancelled says that the result must not be attributed to the target, for
 	// example because the caller disconnected or the call was invalid.
 	Cancelled bool
-	// Latency is the time from the start of the attempt to its end.
+	// Latency is how long the target took for the response, as its node measured
+	// it, or the duration of the attempt if that is unknown.
 	Latency time.Duration
 }
 
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -23,6 +23,9 @@
 	headerError   = "Guavastall-Error"
 	headerLoad    = "Guavastall-Load"
 	headerVersion = "Guavastall-Version"
+	// headerTargetTime carries from the last to the first node how long the target
+	// took to respond, as a Go duration.
+	headerTargetTime = "Guavastall-Target-Time"
 	// headerRetried marks a failure whose retries a node has already decided on;
 	// no other node retries it.
 	headerRetried = "Guavastall-Retried"
@@ -67,7 +70,7 @@
 func copyResponseHeader(to, from http.Header, fromTarget bool) {
 	hop := stripper.NewHopByHop(from)
 	for name, values := range from {
-		if hop.Has(name) || name == headerHop {
+		if hop.Has(name) || name == headerHop || name == headerTargetTime {
 			continue
 		}
 		if fromTarget && name != headerRetried && strings.HasPrefix(name, headerPrefix) {
--- a/internal/forwarder/last.go
+++ b/internal/forwarder/last.go
@@ -47,6 +47,7 @@
 		fw.fail(w, ca, failure{err: rp.err, outcome: rp.outcome})
 		return
 	}
+	w.Header()[headerTargetTime] = []string{rp.targetTime.String()}
 	fw.relay(w, ca, rp, func(en ending) { fw.releaseSlot(rp, en) })
 }
 
@@ -105,6 +106,7 @@
 	rp.late = fw.ticker.Begin(rp.began)
 	if rp.roundTrip(ctx, ca, fw.target, ho) {
 		rp.fromTarget(ctx)
+		rp.setTargetTime(fw.config.Now())
 	}
 	fw.setReportLoad(rp)
 	return rp
--- a/internal/forwarder/once.go
+++ b/internal/forwarder/once.go
@@ -164,6 +164,7 @@
 		fw.fail(w, ca, failure{err: rp.err, outcome: outcome})
 		return
 	}
+	w.Header()[headerTargetTime] = []string{rp.targetTime.String()}
 	body, err := io.ReadAll(io.LimitReader(rp, maxResponseBytes+1))
 	if err != nil {
 		rp.abandon()
--- a/internal/forwarder/reply.go
+++ b/internal/forwarder/reply.go
@@ -34,12 +34,22 @@
 	// late measures the scheduling delay of this node during the attempt.
 	late *ticker.Span
 
+	// targetTime is how long the target took to respond, without the wait for
+	// admission, the way between the nodes and the scheduling delay of the
+	// target's node. It ends when the header, and a small body, has been read,
+	// which is at respondedAt. Both are zero if they are unknown.
+	targetTime  time.Duration
+	respondedAt time.Time
+
 	endpoint router.Endpoint
 	began    time.Time
 	tracker  connTracker
 	cancel   context.CancelFunc
 	// atEOF says that the connection was read to the end of the response.
 	atEOF bool
+	// readAheadDone says that the complete response was read before it was
+	// forwarded.
+	readAheadDone bool
 	// buffer holds a small body that was read ahead; data is its unread part.
 	buffer *[copyBufferSize]byte
 	data   []byte
@@ -106,6 +116,7 @@
 // detected while the attempt can still be retried or reported as unknown.
 func (rp *reply) readAhead(ctx context.Context) {
 	size := rp.resp.ContentLength
+	rp.readAheadDone = rp.atEOF
 	if rp.atEOF || size <= 0 || size > copyBufferSize {
 		return
 	}
@@ -120,6 +131,7 @@
 		rp.abandon()
 		return
 	}
+	rp.readAheadDone = true
 	rp.setEOF()
 }
 
@@ -133,7 +145,7 @@
 const maxMessageBytes = 4 << 10
 
 // fromPeer classifies the response of the target's node.
-func (rp *reply) fromPeer(ctx context.Context, id string) {
+func (rp *reply) fromPeer(ctx context.Context, id string, now func() time.Time) {
 	head := rp.resp.Header
 	closeNotice := rp.resp.StatusCode == http.StatusRequestTimeout && rp.resp.Close &&
 		head.Get(headerError) == answerer.Draining.String()
@@ -153,6 +165,7 @@
 	if rp.outcome == retrier.Answered {
 		if rp.resp.StatusCode >= http.StatusOK && framed(rp.resp) {
 			rp.readAhead(ctx)
+			rp.parseTargetTime(head.Get(headerTargetTime), now())
 			return
 		}
 		rp.abandon()
@@ -203,6 +216,35 @@
 	return nn, err
 }
 
+// setTargetTime records how long the target of this node took to respond.
+func (rp *reply) setTargetTime(now time.Time) {
+	rp.targetTime = max(now.Sub(rp.began)-rp.late.Delay(now), 0)
+	rp.respondedAt = now
+}
+
+// parseTargetTime reads the target's time from the response of its node. It
+// ignores a header that is missing or malformed.
+func (rp *reply) parseTargetTime(text string, now time.Time) {
+	taken, err := time.ParseDuration(text)
+	if err != nil || taken < 0 {
+		return
+	}
+	rp.targetTime, rp.respondedAt = taken, now
+}
+
+// processingTime returns how long the target took for the complete response, as
+// far as it is known. Versions are compared by it: calls to one version may reach
+// local targets while those to the other cross to another node and wait there.
+func (rp *reply) processingTime(now time.Time) time.Duration {
+	switch {
+	case rp.respondedAt.IsZero():
+		return now.Sub(rp.began)
+	case rp.readAheadDone:
+		return rp.targetTime
+	}
+	return rp.targetTime + now.Sub(rp.respondedAt)
+}
+
 // ending classifies how an attempt ended.
 type ending uint8
 
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -82,7 +82,9 @@
 	if co.PingTimeout == 0 {
 		co.PingTimeout = time.Second
 	}
-	ca.MarkRepeatable(Name)
+	// PingVia is not repeated: the helper answers only after its own ping has
+	// failed, which takes longer than a first attempt of two.
+	ca.MarkRepeatable(Name+".Ping", Name+".Exchange")
 	return &Gossiper{
 		config: co, caller: ca, detector: detector.New(co.Self, co.Detector, now),
 		results: make(chan result), wake: make(chan struct{}, 1),
@@ -229,20 +231,29 @@
 }
 
 func (gs *Gossiper) pingVia(ctx context.Context, ac detector.Action) result {
-	ctx, cancel := context.WithTimeout(ctx, 2*gs.config.PingTimeout)
-	defer cancel()
-	var answer ViaAnswer
-	err := gs.caller.Call(ctx, ac.Via, Name+".PingVia", ViaRequest{Target: ac.Target}, &answer)
+	reached, err := gs.askHelper(ctx, ac.Via, ac.Target)
 	switch {
 	case err != nil:
 		return gs.failure(ac)
-	case !answer.Reached:
+	case !reached:
 		return func(now time.Time) { gs.detector.HandleNack(ac, now) }
 	default:
 		return func(now time.Time) { gs.detector.HandleAck(ac, detector.Message{}, now) }
 	}
 }
 
+// askHelper asks the node via to ping the target and reports whether the target
+// answered.
+func (gs *Gossiper) askHelper(
+	ctx context.Context, via, target checker.NodeID,
+) (reached bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*gs.config.PingTimeout)
+	defer cancel()
+	var answer ViaAnswer
+	err = gs.caller.Call(ctx, via, Name+".PingVia", ViaRequest{Target: target}, &answer)
+	return answer.Reached, err
+}
+
 func (gs *Gossiper) exchange(ctx context.Context, ac detector.Action) result {
 	ctx, cancel := context.WithTimeout(ctx, 2*gs.config.PingTimeout)
 	defer cancel()
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -248,3 +248,21 @@
 		de.Tick(now.Add(time.Second))
 	})
 }
+
+// Guards against a failed node that stays unsuspected for several rounds of probes,
+// because the answer of a helper that cannot reach it arrives too late.
+func TestHelperReportsSilentTarget(t *testing.T) {
+	silent := listen(t, checker.NodeID{}) // accepts connections and never answers
+	defer func() { _ = silent.Close() }()
+	target := netip.MustParseAddrPort(silent.Addr().String())
+	lnA, lnB := listen(t, checker.NodeID{}), listen(t, checker.NodeID{})
+	seeds := []checker.NodeID{netip.MustParseAddrPort(lnA.Addr().String())}
+	aa, bb := start(t, lnA, "north", seeds, nil), start(t, lnB, "north", seeds, nil)
+	requireAlive(t, []*testNode{aa, bb}, 2, "join")
+	require.Eventually(t, func() bool {
+		return slices.Contains(aa.Neighbours(), bb.id)
+	}, 5*time.Second, 10*time.Millisecond, "the helper has an open connection")
+	reached, err := aa.askHelper(t.Context(), bb.id, target)
+	require.NoError(t, err, "the helper answers in time")
+	require.False(t, reached)
+}
--- a/internal/meshrunner/meshrunner.go
+++ b/internal/meshrunner/meshrunner.go
@@ -243,6 +243,17 @@
 	for _, end := range ends {
 		<-end
 	}
+	// The addresses are free for the node's next process only when the servers
+	// have closed their listeners.
+	serving := len(servers)
+	if err != nil {
+		serving-- // its end has been received
+	}
+	for range serving {
+		if ended := <-failed; err == nil {
+			err = ended
+		}
+	}
 	ru.Log.WithError(err).Info("stop")
 	return err
 }
--- a/internal/ticker/ticker.go
+++ b/internal/ticker/ticker.go
@@ -55,6 +55,14 @@
 	return &Span{ti, ti.total(now)}
 }
 
+// Delay returns the scheduling delay within the span so far.
+func (sp *Span) Delay(now time.Time) time.Duration {
+	ti := sp.ticker
+	ti.mu.Lock()
+	defer ti.mu.Unlock()
+	return ti.total(now) - sp.startTotal
+}
+
 // End ends the span and returns the scheduling delay within it.
 func (sp *Span) End(now time.Time) time.Duration {
 	ti := sp.ticker
