Share a VM's link: admit large responses by bytes, small messages first

Every body was begun at once, so that all came late together, and requests, calls, refusals and reads of the configuration waited behind them: 2,153 orders ended with a target's 500 because their call to such a VM was late, requests of clients on these VMs took over a second to reach a target, and CONFIG broke.

Change: pacer.Link (pure) admits a large response if it can leave in time, grants parts to the body that is due first and counts small messages without holding them; nodes report their link's backlog on routes with large responses, and placement counts the transfer, preferring the local target, whose response needs no link. A request that every link refused may be answered late.

--- a/internal/carrier/average.go
+++ b/internal/carrier/average.go
@@ -21,6 +21,7 @@
 	retainKeys(ca.usualTimeouts, names)
 	retainKeys(ca.processingTimes, names)
 	retainKeys(ca.callsPerRun, names)
+	retainKeys(ca.responseBytes, names)
 }
 
 func retainKeys[T any](averages map[string]T, routes map[string]bool) {
@@ -28,7 +29,7 @@
 }
 
 // averageWeight is the weight of the newest sample in the moving averages of a
-// route's processing time and of its calls per run.
+// route's processing time, its calls per run and the size of its responses.
 const averageWeight = 0.1
 
 // updateAverage adds a sample to the route's exponential moving average. The
@@ -85,6 +86,21 @@
 	return ca.placer.MeasuredWork(route)
 }
 
+// recordBytes adds a sample of the size of the route's responses.
+func (ca *Carrier) recordBytes(route string, bytes int) {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	updateAverage(ca.responseBytes, route, float64(bytes))
+}
+
+// expectedBytes returns the expected size of a response of the route; zero if no
+// response has been observed.
+func (ca *Carrier) expectedBytes(route string) float64 {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	return ca.responseBytes[route]
+}
+
 // recordCalls records the number of calls that a run of the route made.
 func (ca *Carrier) recordCalls(route string, calls float64) {
 	ca.mu.Lock()
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -24,6 +24,7 @@
 	"github.com/guavastall/guavastall/internal/answerer"
 	"github.com/guavastall/guavastall/internal/budgeter"
 	"github.com/guavastall/guavastall/internal/matcher"
+	"github.com/guavastall/guavastall/internal/pacer"
 	"github.com/guavastall/guavastall/internal/placer"
 	"github.com/guavastall/guavastall/internal/retrier"
 	"github.com/guavastall/guavastall/internal/stager"
@@ -101,6 +102,9 @@
 	Names      Names
 	// Budget limits retries for a service.
 	Budget budgeter.Config
+	// LinkRate is the rate of the VM's link in bits per second; zero if it is no
+	// bottleneck.
+	LinkRate float64
 	// Caller returns the service that runs on this VM.
 	Caller func() string
 	// Now returns the current time.
@@ -115,7 +119,7 @@
 	gate    *Gate
 	view    atomic.Pointer[View]
 
-	// mu guards the fields from placer to callsPerRun. It is held only for
+	// mu guards the fields from placer to responseBytes. It is held only for
 	// computations, and never together with the gate's lock.
 	mu              sync.Mutex
 	placer          *placer.Placer
@@ -126,6 +130,10 @@
 	processingTimes map[string]time.Duration
 	// callsPerRun is the average number of calls that a run of a route makes.
 	callsPerRun map[string]float64
+	// responseBytes is the average size of a response of a route.
+	responseBytes map[string]float64
+
+	egress *egress
 
 	poolsMu sync.Mutex
 	pools   map[netip.AddrPort]*pool
@@ -145,6 +153,8 @@
 		usualTimeouts:   map[string]time.Duration{},
 		processingTimes: map[string]time.Duration{},
 		callsPerRun:     map[string]float64{},
+		responseBytes:   map[string]float64{},
+		egress:          newEgress(pacer.New(cf.LinkRate), cf.Now),
 		pools:           map[netip.AddrPort]*pool{},
 	}
 }
@@ -225,6 +235,7 @@
 	po := ca.pools[node]
 	if po == nil {
 		po = newPool(node, peerDialTimeout)
+		po.count = ca.egress.count
 		ca.pools[node] = po
 	}
 	return po
@@ -255,6 +266,9 @@
 	report *placer.Report
 	// reached is true if the request may have reached the target.
 	reached bool
+	// linkFull is true if the request was refused because its response could not
+	// leave the target's VM in time.
+	linkFull bool
 	// nodeFailed is true if the target's node could not be reached or the
 	// connection to it broke.
 	nodeFailed bool
--- a/internal/carrier/conn.go
+++ b/internal/carrier/conn.go
@@ -56,6 +56,8 @@
 	address string
 	dialer  net.Dialer
 	maxIdle time.Duration
+	// count, if set, is called with the bytes of each request.
+	count func(bytes int)
 
 	mu   sync.Mutex
 	idle []*persistConn
@@ -214,7 +216,7 @@
 	}
 	_ = pc.SetDeadline(ex.deadline)
 	stop := context.AfterFunc(ctx, func() { _ = pc.SetDeadline(time.Unix(1, 0)) })
-	re, reusable, sent, err := pc.exchange(ex)
+	re, reusable, sent, err := pc.exchange(ex, po.count)
 	if !stop() || !reusable || err != nil {
 		_ = pc.Close()
 	} else {
@@ -225,7 +227,9 @@
 
 var writeBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
-func (pc *persistConn) exchange(ex *exchange) (re *response, reusable, sent bool, err error) {
+func (pc *persistConn) exchange(
+	ex *exchange, count func(bytes int),
+) (re *response, reusable, sent bool, err error) {
 	bu := writeBuffers.Get().(*bytes.Buffer)
 	defer writeBuffers.Put(bu)
 	bu.Reset()
@@ -233,6 +237,9 @@
 	if ex.beforeSend != nil {
 		ex.beforeSend()
 	}
+	if count != nil {
+		count(bu.Len())
+	}
 	nn, err := pc.Write(bu.Bytes())
 	if err != nil {
 		return nil, false, nn > 0, fmt.Errorf("write request: %w", err)
--- a/internal/carrier/events.go
+++ b/internal/carrier/events.go
@@ -17,7 +17,7 @@
 
 // instruments are the counters and histograms of a carrier.
 type instruments struct {
-	served, refused, unknown, failed, refusedLocally metrics.Counter
+	served, refused, unknown, failed, refusedLocally, refusedLink metrics.Counter
 	// latency is the time from arrival to response, and targetLatency the part of
 	// it spent at the target, both in microseconds.
 	latency, targetLatency metrics.Histogram
@@ -34,9 +34,9 @@
 	return instruments{
 		served: counter("requests.served"), refused: counter("requests.refused"),
 		unknown: counter("requests.unknown"), failed: counter("requests.failed"),
-		refusedLocally: counter("gate.refused"),
-		latency:        histogram("requests.latencyMicros"),
-		targetLatency:  histogram("target.latencyMicros"),
+		refusedLocally: counter("gate.refused"), refusedLink: counter("link.refused"),
+		latency:       histogram("requests.latencyMicros"),
+		targetLatency: histogram("target.latencyMicros"),
 	}
 }
 
--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -32,13 +33,15 @@
 // dispatch is the state of a request at its first node.
 type dispatch struct {
 	*Carrier
-	rq                 *request
-	view               *View
-	part               matcher.Part
-	newVersion         bool
-	tried              []string
-	placements         int
-	staleTargets       int
+	rq           *request
+	view         *View
+	part         matcher.Part
+	newVersion   bool
+	tried        []string
+	placements   int
+	staleTargets int
+	// fullLinks are the targets that refused because of their VM's link.
+	fullLinks          []string
 	reached            int
 	lastResult         *result
 	shortestRetryAfter time.Duration
@@ -81,6 +84,7 @@
 		return
 	}
 	ca.prepare(rq)
+	rq.acceptLate = rq.returning
 	di := &dispatch{Carrier: ca, rq: rq, view: vi}
 	rs := di.run(r.Context())
 	ca.respond(w, rq, vi, rs)
@@ -240,14 +244,21 @@
 
 // selectTarget selects the target of the next attempt, or returns a refusal.
 func (di *dispatch) selectTarget(now time.Time) (placer.Choice, *result) {
+	if di.placements >= maxPlacements {
+		di.acceptLate()
+	}
 	if di.placements >= maxPlacements || di.staleTargets >= maxStaleTargets {
 		return placer.Choice{}, refusal(answerer.Overloaded, "every target asked refused", 0)
 	}
 	targets := di.candidates()
+	if !untried(targets, di.tried) {
+		di.acceptLate()
+	}
 	di.mu.Lock()
 	ch, ok := di.placer.Pick(targets, placer.Request{
 		DataCentre: di.config.DataCentre, Self: di.config.Self, Route: di.rq.route.Name,
 		Objective: di.rq.objective.Sub(now), Tried: di.tried, Rank: di.rq.rank(),
+		Bytes: di.responseBytes[di.rq.route.Name],
 	}, now)
 	di.mu.Unlock()
 	if !ok {
@@ -262,6 +273,20 @@
 	return ch, nil
 }
 
+// acceptLate makes one more placement possible at a target whose link had no room
+// for a response in time. A late response is worth more than another request of
+// the client, which would be late as well.
+func (di *dispatch) acceptLate() {
+	if di.rq.acceptLate || len(di.fullLinks) == 0 {
+		return
+	}
+	di.rq.acceptLate = true
+	di.placements = min(di.placements, maxPlacements-1)
+	di.tried = slices.DeleteFunc(di.tried, func(id string) bool {
+		return slices.Contains(di.fullLinks, id)
+	})
+}
+
 // latestStart returns the latest start time for which the target is worth asking.
 // For a target in another data centre it is the latest start that the target's
 // gate would accept, because a refusal there costs the transfer of the request.
@@ -320,7 +345,7 @@
 	di.rq.target = ch.Target.ID
 	di.rq.sameDataCentre = ch.Target.DataCentre == di.config.DataCentre
 	di.mu.Lock()
-	di.placer.Begin(ch.Target.ID)
+	di.placer.Begin(ch.Target.ID, di.responseBytes[di.rq.route.Name])
 	di.mu.Unlock()
 	var rs *result
 	if ch.Target.Node == di.config.Self {
@@ -332,6 +357,9 @@
 	if rs.report != nil && rs.reached && ch.Target.Node != di.config.Self {
 		di.recordCalls(di.rq.route.Name, rs.report.Calls)
 	}
+	if rs.response != nil && ch.Target.Node != di.config.Self {
+		di.recordBytes(di.rq.route.Name, len(rs.response.body))
+	}
 	return rs
 }
 
@@ -349,7 +377,13 @@
 		if rs.kind != answerer.Overloaded {
 			rank = admitter.Nested // the target refuses requests of every rank
 		}
-		di.placer.Avoid(ta.ID, rank, max(rs.retryAfter, minRetryAfter), now)
+		// A full link concerns large responses only; the report tells of it.
+		if !rs.linkFull {
+			di.placer.Avoid(ta.ID, rank, max(rs.retryAfter, minRetryAfter), now)
+		}
+	}
+	if rs.linkFull {
+		di.fullLinks = append(di.fullLinks, ta.ID)
 	}
 	if rs.reached {
 		di.reached++
@@ -468,6 +502,9 @@
 // decodeNodeResponse converts the response of another node to a result.
 func decodeNodeResponse(re *response) *result {
 	report := decodeLoad(re.header.Get(headerLoad))
+	if report != nil {
+		report.Link = decodeLink(re.header.Get(headerLink))
+	}
 	if text := re.header.Get(headerRefused); text != "" {
 		parts := strings.Split(text, " ")
 		rs := refusal(answerer.Overloaded, "the target's node refused", 0)
@@ -480,7 +517,10 @@
 				rs.retryAfter = time.Duration(ms) * time.Millisecond
 			}
 		}
-		rs.reached = len(parts) > 2
+		if len(parts) > 2 {
+			rs.reached = parts[2] == flagReached
+			rs.linkFull = parts[2] == flagLinkFull
+		}
 		return rs
 	}
 	if text := re.header.Get(headerUnknown); text != "" {
@@ -494,5 +534,6 @@
 		return rs
 	}
 	delete(re.header, headerLoad)
+	delete(re.header, headerLink)
 	return &result{outcome: retrier.Answered, response: re, reached: true, report: report}
 }
--- a/internal/carrier/last.go
+++ b/internal/carrier/last.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/guavastall/guavastall/internal/answerer"
+	"github.com/guavastall/guavastall/internal/pacer"
 	"github.com/guavastall/guavastall/internal/placer"
 	"github.com/guavastall/guavastall/internal/retrier"
 	"github.com/guavastall/guavastall/internal/stager"
@@ -36,25 +37,62 @@
 		err = rq.decodeHop(r.Header.Get(headerHop), now)
 	}
 	if err != nil {
-		ca.writeNodeResponse(w, r.Header.Get(ca.config.Names.RequestID),
-			refusal(answerer.KindOf(err), err.Error(), 0))
+		ca.writeNodeResponse(r.Context(), w, r.Header.Get(ca.config.Names.RequestID),
+			refusal(answerer.KindOf(err), err.Error(), 0), nil)
 		return
 	}
 	rq.caller = r.Header.Get(ca.config.Names.Caller)
 	if vi == nil {
 		rs := refusal(answerer.NotReady, "no configuration yet", unverifiedRetryAfter)
-		ca.writeNodeResponse(w, rq.id, rs)
+		ca.writeNodeResponse(r.Context(), w, rq.id, rs, nil)
 		return
 	}
 	rq.route = vi.Config.Match(hostName(rq.host), rq.path())
 	ca.applyWarnings(r.Header)
-	rs := ca.runLocal(r.Context(), rq)
+	ca.runForNode(w, r, rq)
+}
+
+// runForNode runs a request of another node and writes the response to it, if the
+// response can leave in time.
+func (ca *Carrier) runForNode(w http.ResponseWriter, r *http.Request, rq *request) {
+	bytes := ca.expectedBytes(rq.routeName())
+	large := rq.route != nil && ca.egress.large(bytes)
+	var tr *pacer.Transfer
+	var rs *result
+	if large {
+		tr, rs = ca.egress.admit(rq, bytes, ca.expectedProcessingTime(rq))
+		defer func() { ca.egress.end(tr) }()
+	}
+	if rs == nil {
+		rs = ca.runLocal(r.Context(), rq)
+	} else {
+		ca.recordLinkRefusal(rq, rs, bytes)
+	}
 	if rq.sameDataCentre {
 		if text := ca.warnings(rq.target); text != "" {
 			w.Header()[headerWarning] = []string{text}
 		}
 	}
-	ca.writeNodeResponse(w, rq.id, rs)
+	if large {
+		w.Header()[headerLink] = []string{encodeLink(ca.egress.report())}
+	}
+	if tr == nil && rs.response != nil && ca.egress.large(float64(len(rs.response.body))) {
+		tr = ca.egress.start(rq)
+		defer func() { ca.egress.end(tr) }()
+	}
+	ca.writeNodeResponse(r.Context(), w, rq.id, rs, tr)
+}
+
+func (ca *Carrier) recordLinkRefusal(rq *request, rs *result, bytes float64) {
+	rs.report = ca.gate.load()
+	ca.metrics.refusedLink.Inc(1)
+	ca.logEvent(true, "refuse", rq, func() map[string]any {
+		return map[string]any{
+			"kind": rs.kind.String(), "detail": rs.detail, "target": rq.target,
+			"bytes": int(bytes), "backlogMs": ca.egress.report().Wait.Milliseconds(),
+			"retryMs": rs.retryAfter.Milliseconds(), "acceptLate": rq.acceptLate,
+		}
+	})
 }
 
 // warnings returns the loads of degraded targets that another node of the data
@@ -209,6 +247,7 @@
 	} else {
 		ca.metrics.targetLatency.Update(took.Microseconds())
 		ca.recordProcessingTime(re.Route, took)
+		ca.recordBytes(re.Route, len(rs.response.body))
 		if rs.failed() {
 			ca.logEvent(true, "target failed", rq, func() map[string]any {
 				return map[string]any{
@@ -221,8 +260,11 @@
 	ca.gate.recordResponse(re)
 }
 
-// writeNodeResponse writes a result to the first node.
-func (ca *Carrier) writeNodeResponse(w http.ResponseWriter, id string, rs *result) {
+// writeNodeResponse writes a result to the first node. The transfer is that of a
+// large response and may be nil.
+func (ca *Carrier) writeNodeResponse(
+	ctx context.Context, w http.ResponseWriter, id string, rs *result, tr *pacer.Transfer,
+) {
 	header := w.Header()
 	header["Date"] = nil
 	header[ca.config.Names.RequestID] = []string{id}
@@ -230,12 +272,15 @@
 		header[headerLoad] = []string{encodeLoad(rs.report)}
 	}
 	if rs.outcome == retrier.Answered {
-		writeResponse(w, rs.response)
+		ca.writeToNode(ctx, w, rs.response, tr)
 		return
 	}
 	flags := ""
-	if rs.reached {
-		flags = " t"
+	switch {
+	case rs.reached:
+		flags = " " + flagReached
+	case rs.linkFull:
+		flags = " " + flagLinkFull
 	}
 	if rs.outcome == retrier.NotRun {
 		header[headerRefused] = []string{
--- a/internal/carrier/request.go
+++ b/internal/carrier/request.go
@@ -24,8 +24,10 @@
 	headerWarning = "Gs-Warning"
 	// headerRefused marks a refusal between nodes. It holds the kind, the
 	// milliseconds until the target is expected to accept requests, and a flag if
-	// the target was reached.
+	// the target was reached or only its link is full.
 	headerRefused = "Gs-Refused"
+	flagReached   = "t"
+	flagLinkFull  = "l"
 	// headerUnknown holds the kind of an attempt whose outcome is unknown.
 	headerUnknown = "Gs-Unknown"
 
@@ -33,6 +35,7 @@
 	flagReturning      = 'r'
 	flagRepeat         = 'p'
 	flagSameDataCentre = 'n'
+	flagAcceptLate     = 'l'
 
 	// returningFraction is the fraction of the usual timeout below which a
 	// request counts as a retry by a client that was refused before.
@@ -66,6 +69,9 @@
 	// repeat is true if another target received the request earlier. For a nested
 	// request it describes the outer request.
 	repeat bool
+	// acceptLate is true if a response over a full link may come after its
+	// objective, because no other link has room for it.
+	acceptLate bool
 	// target is the incarnation that a request from another node is intended for.
 	target string
 	// sameDataCentre is true if both nodes of the request are in the same data
@@ -149,7 +155,7 @@
 	text = append(text, target...)
 	text = append(text, ' ')
 	text = strconv.AppendInt(text, rq.objective.Sub(now).Milliseconds(), 10)
-	if rq.inner || rq.returning || rq.repeat || rq.sameDataCentre {
+	if rq.inner || rq.returning || rq.repeat || rq.sameDataCentre || rq.acceptLate {
 		text = append(text, ' ')
 	}
 	if rq.inner {
@@ -164,6 +170,9 @@
 	if rq.sameDataCentre {
 		text = append(text, flagSameDataCentre)
 	}
+	if rq.acceptLate {
+		text = append(text, flagAcceptLate)
+	}
 	return string(text)
 }
 
@@ -184,6 +193,7 @@
 		rq.returning = strings.IndexByte(parts[2], flagReturning) >= 0
 		rq.repeat = strings.IndexByte(parts[2], flagRepeat) >= 0
 		rq.sameDataCentre = strings.IndexByte(parts[2], flagSameDataCentre) >= 0
+		rq.acceptLate = strings.IndexByte(parts[2], flagAcceptLate) >= 0
 	}
 	return nil
 }
--- a/internal/carrier/respond.go
+++ b/internal/carrier/respond.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"net/http"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/guavastall/guavastall/internal/answerer"
+	"github.com/guavastall/guavastall/internal/pacer"
 	"github.com/guavastall/guavastall/internal/retrier"
 	"github.com/guavastall/guavastall/internal/stripper"
 )
@@ -82,8 +84,37 @@
 	w.WriteHeader(ki.Answer().Status)
 }
 
-// writeResponse forwards a target's response.
+// writeResponse forwards a target's response to a client.
 func writeResponse(w http.ResponseWriter, re *response) {
+	writeHead(w, re)
+	_, err := w.Write(re.body)
+	if err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		panic(http.ErrAbortHandler) // the client has disconnected
+	}
+}
+
+// writeToNode forwards a target's response to another node, a large one as the
+// link has room.
+func (ca *Carrier) writeToNode(
+	ctx context.Context, w http.ResponseWriter, re *response, tr *pacer.Transfer,
+) {
+	if tr == nil || len(re.body) == 0 {
+		ca.egress.count(len(re.body) + typicalHeadBytes)
+		writeResponse(w, re)
+		return
+	}
+	writeHead(w, re)
+	err := ca.egress.write(ctx, w, re.body, tr)
+	if err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		panic(http.ErrAbortHandler) // the first node has disconnected
+	}
+}
+
+// typicalHeadBytes is the size of the head of a response between nodes.
+const typicalHeadBytes = 300
+
+// writeHead writes the status and the header of a target's response.
+func writeHead(w http.ResponseWriter, re *response) {
 	header := w.Header()
 	hop := stripper.NewHopByHop(re.header)
 	for name, values := range re.header {
@@ -95,10 +126,6 @@
 		header["Content-Length"] = []string{strconv.Itoa(len(re.body))}
 	}
 	w.WriteHeader(re.status)
-	_, err := w.Write(re.body)
-	if err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
-		panic(http.ErrAbortHandler) // the client has disconnected
-	}
 }
 
 func bodyAllowed(status int) bool {
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -31,6 +31,9 @@
 	Routes   []*Route
 	Services map[string]*Service
 	Limits   Limits
+	// Warnings describe what is unusual but does not prevent the configuration from
+	// being used.
+	Warnings []string
 
 	// byHost holds the routes of each host, longest prefix first.
 	byHost map[string][]*Route
--- a/internal/meshrunner/meshrunner.go
+++ b/internal/meshrunner/meshrunner.go
@@ -149,7 +149,7 @@
 	ru.gate = carrier.NewGate(se.Target, pa.Now)
 	ru.carrier = carrier.New(carrier.Config{
 		Self: se.Nodes, DataCentre: se.DataCentre, Names: pa.Names,
-		Budget: se.Budget, Now: pa.Now,
+		Budget: se.Budget, LinkRate: se.LinkRate, Now: pa.Now,
 		Caller: func() string { return ru.settings.Load().Service },
 	}, ru.gate, pa.Events, pa.Metrics)
 	ru.operator = replicator.New(replicator.Config{
--- a/internal/meshrunner/settings.go
+++ b/internal/meshrunner/settings.go
@@ -27,6 +27,9 @@
 	Memory int64
 	// Capacity is the number of processors of the VM. It may be fractional.
 	Capacity float64
+	// LinkRate is the rate of the VM's link in bits per second; zero if it is
+	// unknown or no bottleneck.
+	LinkRate float64
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
 	// ColdFactor is the multiple of its declared rate that a cold target may
@@ -70,6 +73,9 @@
 	if se.DataCentre == "" {
 		errs = append(errs, errors.New("the data centre is missing"))
 	}
+	if !(se.LinkRate >= 0) {
+		errs = append(errs, fmt.Errorf("link rate %v is not positive or zero", se.LinkRate))
+	}
 	if se.Grace < 0 || se.Memory < 0 {
 		errs = append(errs, errors.New("the grace period or the memory limit is negative"))
 	}
--- a/internal/meshrunner/view.go
+++ b/internal/meshrunner/view.go
@@ -65,6 +65,9 @@
 		return
 	}
 	ru.config = cf
+	for _, text := range cf.Warnings {
+		entry.Warn(text)
+	}
 	entry.WithFields(logrus.Fields{
 		"routes": len(cf.Routes), "services": len(cf.Services),
 	}).Info("configuration in force")
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -85,6 +85,17 @@
 	Took time.Duration
 	// Calls is the average number of calls that a request of this route makes.
 	Calls float64
+	// Link is the state of the target VM's link, or nil if the response does not
+	// tell.
+	Link *Link
+}
+
+// Link is the state of the link over which a target's responses leave its VM.
+type Link struct {
+	// Wait is the time until another large response would begin to leave.
+	Wait time.Duration
+	// BytesPerSecond is the rate of the link; zero if it is no bottleneck.
+	BytesPerSecond float64
 }
 
 // Request holds the properties of a request that the choice of its target depends
@@ -99,6 +110,8 @@
 	Objective time.Duration
 	// Tried holds the IDs of the targets that were already tried.
 	Tried []string
+	// Bytes is the expected size of the response; zero if unknown.
+	Bytes float64
 }
 
 // Choice is the result of [Placer.Pick].
@@ -118,6 +131,11 @@
 	// outstanding is the number of this node's requests at the target, and
 	// sinceReport the number of those that began after the report.
 	outstanding, sinceReport int
+	// link is the last known state of the target VM's link, linkAt the time of
+	// that report, and linkBytes the expected bytes of this node's requests since.
+	link      Link
+	linkAt    time.Time
+	linkBytes float64
 	// avoidUntil is the end of the back-off after a refusal, by rank.
 	avoidUntil [admitter.Ranks]time.Time
 	// slowness is the ratio of the target's response time to the average of the
@@ -184,7 +202,7 @@
 // choice.
 func (pl *Placer) cost(ta *Target, re *Request, now time.Time) (time.Duration, Choice) {
 	work := pl.Work(re.Route)
-	wait, used, failures := time.Duration(0), 0.0, 0.0
+	wait, used, failures, transfer := time.Duration(0), 0.0, 0.0, time.Duration(0)
 	age := time.Duration(-1)
 	if lo := pl.loads[ta.ID]; lo != nil {
 		if lo.reported {
@@ -196,9 +214,12 @@
 			wait = rest
 		}
 		failures = lo.failureShare(now)
+		if ta.Node != re.Self {
+			transfer = lo.transferTime(re.Bytes, wait+work, now)
+		}
 	}
 	penalty := failurePenalty * failures * float64(max(re.Objective, work))
-	expected := wait + work + time.Duration(penalty)
+	expected := wait + work + transfer + time.Duration(penalty)
 	cost := expected + time.Duration(utilisationPenalty*used*float64(work))
 	cost += time.Duration(jitter * pl.random.Float64() * float64(work))
 	objective := max(re.Objective, 0)
@@ -267,6 +288,25 @@
 	return wait, min(busy/float64(slots), 1)
 }
 
+// transferTime returns the time that the response takes over the link of the
+// target's VM after the given time of processing, including the part of the link's
+// backlog that is then left.
+func (lo *load) transferTime(
+	bytes float64, processing time.Duration, now time.Time,
+) time.Duration {
+	if bytes <= 0 || lo.link.BytesPerSecond <= 0 {
+		return 0
+	}
+	age := now.Sub(lo.linkAt)
+	wait := time.Duration(ageWeight(age, staleAge)*float64(lo.link.Wait)) - age
+	wait = max(wait, 0) + lo.sendTime(lo.linkBytes)
+	return max(wait-processing, 0) + lo.sendTime(bytes)
+}
+
+func (lo *load) sendTime(bytes float64) time.Duration {
+	return time.Duration(bytes / lo.link.BytesPerSecond * float64(time.Second))
+}
+
 // failureShare returns the reported share of failed requests, weighted by the age
 // of the report.
 func (lo *load) failureShare(now time.Time) float64 {
@@ -318,11 +358,13 @@
 	return lo
 }
 
-// Begin records that a request is sent to the target.
-func (pl *Placer) Begin(id string) {
+// Begin records that a request is sent to the target, with the expected size of
+// its response.
+func (pl *Placer) Begin(id string, bytes float64) {
 	lo := pl.load(id)
 	lo.outstanding++
 	lo.sinceReport++
+	lo.linkBytes += bytes
 }
 
 // End records the end of a request of the route at the target. The report is nil
@@ -332,6 +374,9 @@
 	lo.outstanding--
 	if re != nil {
 		lo.report, lo.reportedAt, lo.reported, lo.sinceReport = *re, now, true, 0
+		if re.Link != nil {
+			lo.link, lo.linkAt, lo.linkBytes = *re.Link, now, 0
+		}
 		pl.updateSlow(id, re)
 		lo.avoidUntil = [admitter.Ranks]time.Time{}
 		if re.Took > 0 {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -63,7 +63,7 @@
 
 // report records a request at the target whose response carries the report.
 func report(pl *Placer, ta Target, re Report, now time.Time) {
-	pl.Begin(ta.ID)
+	pl.Begin(ta.ID, 0)
 	if re.Slots == 0 {
 		re.Slots = ta.Slots
 	}
@@ -209,7 +209,7 @@
 					}
 				}
 			}
-			pls[ru.placer].Begin(targets[ru.target].ID)
+			pls[ru.placer].Begin(targets[ru.target].ID, 0)
 			if busy[ru.target] < slots {
 				start(ru, tick)
 			} else {
@@ -224,3 +224,47 @@
 	}
 	return sum / ticks
 }
+
+// A large response goes to the target whose VM's link has room: to the local one,
+// which needs no link, and else to the link with the least backlog.
+func TestLargeResponsesFollowLinks(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	self := netip.MustParseAddrPort("127.0.0.1:1")
+	other := netip.MustParseAddrPort("127.0.0.2:1")
+	third := netip.MustParseAddrPort("127.0.0.3:1")
+	report := func(wait time.Duration) *Report {
+		return &Report{
+			Slots: 10, Work: 100 * time.Millisecond, Took: 100 * time.Millisecond,
+			Link: &Link{Wait: wait, BytesPerSecond: 1.5e6},
+		}
+	}
+	pl := New(rand.New(rand.NewPCG(1, 1)))
+	for id, wait := range map[string]time.Duration{
+		"full": 700 * time.Millisecond, "free": 0, "local": 700 * time.Millisecond,
+	} {
+		pl.Begin(id, 0)
+		pl.End(id, "r", report(wait), now)
+	}
+	targets := []Target{
+		{ID: "full", Node: other, DataCentre: "dc", Slots: 10},
+		{ID: "free", Node: third, DataCentre: "dc", Slots: 10},
+	}
+	re := Request{
+		DataCentre: "dc", Self: self, Route: "r", Objective: 800 * time.Millisecond, Bytes: 90_000,
+	}
+	for range 20 {
+		ch, _ := pl.Pick(targets, re, now)
+		assert.Equal(t, "free", ch.Target.ID)
+	}
+	local := append(targets, Target{ID: "local", Node: self, DataCentre: "dc", Slots: 10})
+	for range 20 {
+		ch, _ := pl.Pick(local, re, now)
+		assert.Equal(t, "local", ch.Target.ID, "its response does not cross the link")
+	}
+	// This node's own requests count until the next report, and old news fades.
+	for range 10 {
+		pl.Begin("free", 90_000)
+	}
+	ch, _ := pl.Pick(targets, re, now.Add(staleAge))
+	assert.Equal(t, "full", ch.Target.ID)
+}
--- a/internal/placer/warning_test.go
+++ b/internal/placer/warning_test.go
@@ -95,7 +95,7 @@
 		if ru.target < slow && tick > 1000 {
 			ru.took *= factor
 		}
-		pls[pl].Begin(ch.Target.ID)
+		pls[pl].Begin(ch.Target.ID, 0)
 		tell(pl, ru.target, now)
 		all++
 		if running[ru.target] < slots {
