Placement sees shedding; splits begin at a random turn

Every node began a split route with its first part, so that many nodes with few requests prefer that part.

Change: refusals by the target count in the share of failures that placement uses, not in the evidence on versions. The first turn of a route is random.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -123,7 +123,7 @@
 	// computations, and never together with the gate's lock.
 	mu              sync.Mutex
 	placer          *placer.Placer
-	splitter        matcher.Splitter
+	splitter        *matcher.Splitter
 	budgets         map[string]*budgeter.Budget
 	versionCredits  map[string]float64
 	usualTimeouts   map[string]time.Duration
@@ -147,7 +147,8 @@
 func New(cf Config, ga *Gate, lo Log, re metrics.Registry) *Carrier {
 	return &Carrier{
 		config: cf, log: lo, metrics: newInstruments(re), gate: ga,
-		placer:          placer.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		placer:          placer.New(newRandom()),
+		splitter:        matcher.NewSplitter(newRandom()),
 		budgets:         map[string]*budgeter.Budget{},
 		versionCredits:  map[string]float64{},
 		usualTimeouts:   map[string]time.Duration{},
@@ -159,6 +160,9 @@
 	}
 }
 
+// newRandom returns a source of random numbers that differs between nodes.
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 // SetView replaces the carrier's view of the mesh.
 func (ca *Carrier) SetView(vi *View) {
 	targets, nodes := map[string]bool{}, map[netip.AddrPort]bool{}
--- a/internal/carrier/gate.go
+++ b/internal/carrier/gate.go
@@ -18,7 +18,7 @@
 	// been verified yet. A health check takes a few milliseconds.
 	unverifiedRetryAfter = 200 * time.Millisecond
 	// errorRateWeight is the weight of the newest request in the moving average
-	// of the error rate.
+	// of the share of requests that the target failed or refused.
 	errorRateWeight = 0.05
 	// maxInitialSequence is the highest sequence number of a target that has just
 	// started. A target that is first seen with a higher number may have received
@@ -402,8 +402,21 @@
 	re.Cold = ga.queue.Cold(now)
 	ga.collector.Add(re, now)
 	ga.faultDetected = ga.faultDetected || ga.rolloutActive && ga.collector.ShowsFault()
+	ga.addErrorSample(re.Failed)
+}
+
+// recordShed records that the target refused a request although it had a free
+// slot. Such a target seems idle and quick and would otherwise attract requests.
+// It is not evidence against its version.
+func (ga *Gate) recordShed() {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.addErrorSample(true)
+}
+
+func (ga *Gate) addErrorSample(failed bool) {
 	sample := 0.0
-	if re.Failed {
+	if failed {
 		sample = 1
 	}
 	ga.errorRate += errorRateWeight * (sample - ga.errorRate)
--- a/internal/carrier/gate_test.go
+++ b/internal/carrier/gate_test.go
@@ -259,3 +259,18 @@
 		_ = decodeLoad(text)
 	})
 }
+
+// A target that refuses requests with free slots responds at once and has no load;
+// it must not look better than one that works.
+func TestGateReportsShedding(t *testing.T) {
+	ga := openGate()
+	for range 30 {
+		ga.recordShed()
+	}
+	assert.Greater(t, ga.load().FailureShare, 0.5)
+	assert.False(t, ga.faultDetected, "it is no evidence against a version")
+	for range 60 {
+		ga.recordResponse(stager.Response{Took: time.Millisecond})
+	}
+	assert.Less(t, ga.load().FailureShare, 0.1)
+}
--- a/internal/carrier/last.go
+++ b/internal/carrier/last.go
@@ -227,6 +227,9 @@
 // recordOutcome records the outcome of a request at the target.
 func (ca *Carrier) recordOutcome(rq *request, rs *result, took time.Duration) {
 	if rs.outcome == retrier.NotRun {
+		if rs.reached && rs.kind == answerer.Overloaded {
+			ca.gate.recordShed()
+		}
 		ca.logEvent(true, "not run", rq, func() map[string]any {
 			return map[string]any{"detail": rs.detail, "target": rq.target}
 		})
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -164,26 +165,42 @@
 
 // Splitter distributes the requests of a route over its parts by smooth weighted
 // round robin, so that every part has its share after any number of requests and
-// not only on average. It is not safe for concurrent use. The zero value is ready
-// to use.
+// not only on average. A route begins at a random point of its turn: many nodes
+// that each send few requests would otherwise all prefer the same part. It is not
+// safe for concurrent use.
 type Splitter struct {
+	random *rand.Rand
 	// routes holds the credit of each service by route and service.
 	routes map[string]map[string]float64
 }
 
+// NewSplitter returns a Splitter that draws the first turns from random.
+func NewSplitter(random *rand.Rand) *Splitter {
+	return &Splitter{random: random, routes: map[string]map[string]float64{}}
+}
+
 // Next returns the part that serves the next request of the route.
 func (sp *Splitter) Next(ro *Route) Part {
 	if len(ro.Parts) == 1 {
 		return ro.Parts[0]
 	}
-	if sp.routes == nil {
-		sp.routes = map[string]map[string]float64{}
-	}
 	credits := sp.routes[ro.Name]
 	if credits == nil {
 		credits = make(map[string]float64, len(ro.Parts))
 		sp.routes[ro.Name] = credits
+		for range sp.random.IntN(maxFirstTurn) {
+			advance(ro, credits)
+		}
 	}
+	return advance(ro, credits)
+}
+
+// maxFirstTurn is the number of turns from which the first one of a route is
+// drawn. It exceeds the period of weights that are given in per cent.
+const maxFirstTurn = 1000
+
+// advance takes the next turn and returns the part whose turn it is.
+func advance(ro *Route, credits map[string]float64) Part {
 	total := 0.0
 	for _, pa := range ro.Parts {
 		total += pa.Weight
--- a/internal/matcher/matcher_test.go
+++ b/internal/matcher/matcher_test.go
@@ -109,10 +109,32 @@
 // Every part has its share after any number of requests, within one request.
 func TestSplitterShares(t *testing.T) {
 	ro := route("r", "a", "/", Part{"desk", 90}, Part{"ledger", 10})
-	var sp Splitter
+	sp := NewSplitter(rand.New(rand.NewPCG(1, 1)))
 	counts := map[string]int{}
 	for nn := 1; nn <= 1000; nn++ {
 		counts[sp.Next(ro).Service]++
 		assert.InDelta(t, 0.1*float64(nn), counts["ledger"], 1)
 	}
 }
+
+// Replays a fleet whose nodes each send few requests of a route: the parts have
+// their shares in the sum over the nodes. Splitters that all begin with the same
+// part send nearly every first request there.
+func TestSplitterSharesOverNodes(t *testing.T) {
+	ro := route("r", "a", "/", Part{"desk", 70}, Part{"ledger", 20}, Part{"new", 10})
+	for _, perNode := range []int{1, 2, 5} {
+		const nodes = 3000
+		random := rand.New(rand.NewPCG(uint64(perNode), 1))
+		counts := map[string]float64{}
+		for range nodes {
+			sp := NewSplitter(random)
+			for range perNode {
+				counts[sp.Next(ro).Service] += 1 / float64(nodes*perNode)
+			}
+		}
+		for _, pa := range ro.Parts {
+			assert.InDelta(t, pa.Weight/100, counts[pa.Service], 0.025,
+				"%d requests a node: %s", perNode, pa.Service)
+		}
+	}
+}
