Bound the bytes of responses and bodies; complete requests accepted at a stop

Cause: the header of a response had no bound (493 MB in 2 s from a target that sends header lines without end), informational responses neither, and closing a refused body read it to its end. Many large bodies had no bound together. A stopped node closed connections on which a request had just been accepted (shown: EOF for the caller).

Change: headLimiter, bodyMemory (a quarter of the process's memory for all bodies), bodies of refused responses are not drained, client bodies within 30 s, header bounds towards store and nodes; servers are shut down before they are closed, for 400 ms at most.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -105,6 +105,8 @@
 	// LinkRate is the rate of the VM's link in bits per second; zero if it is no
 	// bottleneck.
 	LinkRate float64
+	// Memory is the memory limit of the process in bytes; zero if unknown.
+	Memory int64
 	// Caller returns the service that runs on this VM.
 	Caller func() string
 	// Now returns the current time.
@@ -134,6 +136,7 @@
 	responseBytes map[string]float64
 
 	egress *egress
+	bodies *bodyMemory
 
 	poolsMu sync.Mutex
 	pools   map[netip.AddrPort]*pool
@@ -156,6 +159,7 @@
 		callsPerRun:     map[string]float64{},
 		responseBytes:   map[string]float64{},
 		egress:          newEgress(pacer.New(cf.LinkRate), cf.Now),
+		bodies:          newBodyMemory(cf.Memory),
 		pools:           map[netip.AddrPort]*pool{},
 	}
 }
--- a/internal/carrier/conn.go
+++ b/internal/carrier/conn.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -38,6 +37,9 @@
 	// maxResponseBytes bounds a response body. Bodies are held in memory so that
 	// an incomplete one is never forwarded.
 	maxResponseBytes = 16 << 20
+	// maxResponseHeadBytes bounds the header of a response together with the
+	// informational responses before it.
+	maxResponseHeadBytes = 64 << 10
 	// readBufferBytes is large enough for a typical response header.
 	readBufferBytes = 4 << 10
 )
@@ -45,6 +47,7 @@
 // persistConn is a connection to the target or to another node.
 type persistConn struct {
 	net.Conn
+	head     headLimiter
 	reader   *bufio.Reader
 	lastUsed time.Time
 	fresh    bool
@@ -103,9 +106,33 @@
 	if err != nil {
 		return nil, errors.Join(errDial, err)
 	}
-	return &persistConn{
-		Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), fresh: true,
-	}, nil
+	pc := &persistConn{Conn: nc, head: headLimiter{conn: nc}, fresh: true}
+	pc.reader = bufio.NewReaderSize(&pc.head, readBufferBytes)
+	return pc, nil
+}
+
+// errHeadTooLong is returned if a response's header exceeds maxResponseHeadBytes.
+var errHeadTooLong = errors.New("the response header is too long")
+
+// headLimiter reads from a connection. While a header is read, it fails after
+// maxResponseHeadBytes, because a faulty target may send header bytes without end.
+type headLimiter struct {
+	conn    net.Conn
+	limited bool
+	left    int
+}
+
+// Read implements [io.Reader].
+func (hl *headLimiter) Read(data []byte) (int, error) {
+	if !hl.limited {
+		return hl.conn.Read(data)
+	}
+	if hl.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	nn, err := hl.conn.Read(data[:min(len(data), hl.left)])
+	hl.left -= nn
+	return nn, err
 }
 
 func (po *pool) pop() *persistConn {
@@ -199,6 +226,8 @@
 	beforeSend func()
 	// deadline bounds the wait for the response.
 	deadline time.Time
+	// lease bounds the memory for the response's body.
+	lease *lease
 }
 
 // errMismatchedResponse is returned for a response that belongs to another
@@ -258,8 +287,9 @@
 	if err != nil {
 		return nil, false, fmt.Errorf("read response header: %w", err)
 	}
-	defer func() { _ = hr.Body.Close() }() // reuse is decided below
-	body, err := readBody(hr)
+	// The body is not closed, because Close reads it to its end, which may never
+	// come. It holds no resource but the connection.
+	body, err := readBody(hr, ex.lease)
 	if err != nil {
 		return nil, false, fmt.Errorf("read response body: %w", err)
 	}
@@ -274,6 +304,8 @@
 // readHead reads the header of the final response. It skips informational
 // responses.
 func (pc *persistConn) readHead(method string) (*http.Response, error) {
+	pc.head.limited, pc.head.left = true, maxResponseHeadBytes
+	defer func() { pc.head.limited = false }()
 	for {
 		hr, err := http.ReadResponse(pc.reader, &http.Request{Method: method})
 		if err != nil || hr.StatusCode >= http.StatusOK {
@@ -283,23 +315,18 @@
 	}
 }
 
-func readBody(hr *http.Response) ([]byte, error) {
-	if hr.ContentLength == 0 {
+var errBodyTooLong = errors.New("response body exceeds 16 MiB")
+
+func readBody(hr *http.Response, le *lease) ([]byte, error) {
+	switch {
+	case hr.ContentLength == 0:
 		return nil, nil
+	case hr.ContentLength > maxResponseBytes:
+		return nil, errBodyTooLong
+	case hr.ContentLength > 0 && hr.Request.Method != http.MethodHead:
+		return le.readExact(hr.Body, hr.ContentLength)
 	}
-	if hr.ContentLength > maxResponseBytes {
-		return nil, errors.New("response body exceeds 16 MiB")
-	}
-	if hr.ContentLength > 0 && hr.Request.Method != http.MethodHead {
-		body := make([]byte, hr.ContentLength)
-		_, err := io.ReadFull(hr.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(hr.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errors.New("response body exceeds 16 MiB")
-	}
-	return body, err
+	return le.readBounded(hr.Body, maxResponseBytes, errBodyTooLong)
 }
 
 func (ex *exchange) encode(bu *bytes.Buffer) {
--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -63,7 +63,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	vi := ca.view.Load()
+	stopTimeout := limitBodyTime(w, r, now)
 	rq, err := ca.parse(r, bodyLimit(vi), now)
+	stopTimeout()
+	defer rq.release()
 	if err == nil && ca.rejectingClients.Load() {
 		ca.respond(w, rq, vi, refusal(answerer.Draining, "the node leaves", shutdownRetryAfter))
 		return
@@ -90,6 +93,20 @@
 	ca.respond(w, rq, vi, rs)
 }
 
+// bodyTimeout bounds the time in which a client has to send the body of a request.
+const bodyTimeout = 30 * time.Second
+
+// limitBodyTime bounds the time to read the request's body until the returned
+// function is called.
+func limitBodyTime(w http.ResponseWriter, r *http.Request, now time.Time) (stop func()) {
+	if r.ContentLength == 0 {
+		return func() {}
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(now.Add(bodyTimeout))
+	return func() { _ = rc.SetReadDeadline(time.Time{}) }
+}
+
 // path returns the path of the request without its query.
 func (rq *request) path() string {
 	path, _, _ := strings.Cut(rq.uri, "?")
@@ -458,7 +475,7 @@
 	re, sent, err := di.pool(ta.Node).send(ctx, &exchange{
 		id: rq.id, idHeader: na.RequestID, method: rq.method, uri: rq.uri, host: rq.host,
 		header: rq.header, body: rq.body, deadline: rq.deadline.Add(2 * responseSlack),
-		extra: extra,
+		extra: extra, lease: rq.lease,
 	}, di.config.Now)
 	switch {
 	case err != nil && !sent:
--- a/internal/carrier/last.go
+++ b/internal/carrier/last.go
@@ -33,6 +33,7 @@
 	now := ca.config.Now()
 	vi := ca.view.Load()
 	rq, err := ca.parse(r, bodyLimit(vi), now)
+	defer rq.release()
 	if err == nil {
 		err = rq.decodeHop(r.Header.Get(headerHop), now)
 	}
@@ -156,7 +157,7 @@
 	re, sent, err := ca.gate.pool.send(ctx, &exchange{
 		id: rq.id, idHeader: na.RequestID, method: rq.method, uri: rq.uri, host: rq.host,
 		header: rq.header, body: rq.body, deadline: rq.deadline.Add(responseSlack),
-		beforeSend: func() { ca.gate.markSent(ad) },
+		beforeSend: func() { ca.gate.markSent(ad) }, lease: rq.lease,
 		extra: [][2]string{
 			{na.Timeout, milliseconds(left)}, {na.Expected, ad.target}, {na.Caller, rq.caller},
 		},
--- /dev/null
+++ b/internal/carrier/memory.go
@@ -0,0 +1,106 @@
+package carrier
+
+import (
+	"errors"
+	"io"
+	"sync/atomic"
+)
+
+const (
+	// bodyMemoryFraction is the fraction of the process's memory that the bodies of
+	// requests and responses may take together.
+	bodyMemoryFraction = 0.25
+	// defaultBodyMemory is the limit if the memory of the process is unknown.
+	defaultBodyMemory = 128 << 20
+	// bodyChunkBytes is the memory taken at a time for a body of unknown length.
+	bodyChunkBytes = 32 << 10
+	// maxExactBytes is the length up to which a body's memory is taken at once. The
+	// bytes of a longer one may never come.
+	maxExactBytes = 1 << 20
+)
+
+// errBodyMemory is returned if a body does not fit into the memory that is left.
+var errBodyMemory = errors.New("the node has no memory left for the body")
+
+// bodyMemory bounds the bytes of all bodies that the node holds. A body that comes
+// without end, or many large ones, must not end the process. It is safe for
+// concurrent use.
+type bodyMemory struct {
+	limit int64
+	used  atomic.Int64
+}
+
+func newBodyMemory(processMemory int64) *bodyMemory {
+	if processMemory <= 0 {
+		return &bodyMemory{limit: defaultBodyMemory}
+	}
+	return &bodyMemory{limit: int64(bodyMemoryFraction * float64(processMemory))}
+}
+
+// lease is the memory that the bodies of one request hold. It is not safe for
+// concurrent use.
+type lease struct {
+	memory *bodyMemory
+	held   int64
+}
+
+// take takes memory for a body. A nil lease is not bounded.
+func (le *lease) take(bytes int64) error {
+	if le == nil {
+		return nil
+	}
+	if le.memory.used.Add(bytes) > le.memory.limit {
+		le.memory.used.Add(-bytes)
+		return errBodyMemory
+	}
+	le.held += bytes
+	return nil
+}
+
+// release returns all memory of the lease.
+func (le *lease) release() {
+	le.memory.used.Add(-le.held)
+	le.held = 0
+}
+
+// boundedReader reads a body of unknown length into leased memory.
+type boundedReader struct {
+	io.Reader
+	lease *lease
+	// left is what may still come, and taken the unused part of the memory taken.
+	left, taken int64
+	tooLong     error
+}
+
+// Read implements [io.Reader].
+func (br *boundedReader) Read(data []byte) (int, error) {
+	nn, err := br.Reader.Read(data)
+	if br.left -= int64(nn); br.left < 0 {
+		return 0, br.tooLong
+	}
+	for br.taken -= int64(nn); br.taken < 0; br.taken += bodyChunkBytes {
+		if err := br.lease.take(bodyChunkBytes); err != nil {
+			return 0, err
+		}
+	}
+	return nn, err
+}
+
+// readBounded reads a body of unknown length. The error is tooLong if it exceeds
+// the limit.
+func (le *lease) readBounded(rd io.Reader, limit int64, tooLong error) ([]byte, error) {
+	return io.ReadAll(&boundedReader{Reader: rd, lease: le, left: limit, tooLong: tooLong})
+}
+
+// readExact reads a body of known length, at which rd ends.
+func (le *lease) readExact(rd io.Reader, length int64) ([]byte, error) {
+	if length > maxExactBytes {
+		return le.readBounded(rd, length, io.ErrUnexpectedEOF)
+	}
+	if err := le.take(length); err != nil {
+		return nil, err
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(rd, body)
+	return body, err
+}
--- a/internal/carrier/request.go
+++ b/internal/carrier/request.go
@@ -1,7 +1,7 @@
 package carrier
 
 import (
-	"io"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -74,6 +74,8 @@
 	acceptLate bool
 	// target is the incarnation that a request from another node is intended for.
 	target string
+	// lease holds the memory of the request's body and of all responses to it.
+	lease *lease
 	// sameDataCentre is true if both nodes of the request are in the same data
 	// centre.
 	sameDataCentre bool
@@ -84,7 +86,7 @@
 	na := &ca.config.Names
 	rq := &request{
 		id: r.Header.Get(na.RequestID), method: r.Method, uri: r.RequestURI, host: r.Host,
-		arrived: now,
+		arrived: now, lease: &lease{memory: ca.bodies},
 	}
 	if rq.id == "" || len(r.Header[na.RequestID]) != 1 {
 		return nil, answerer.New(answerer.BadRequest, "the request needs one ID")
@@ -94,7 +96,8 @@
 	}
 	if text := r.Header.Get(na.Timeout); text != "" {
 		left, err := strconv.ParseFloat(text, 64)
-		if err != nil || left < 0 || left > maxTimeout.Seconds()*1000 {
+		// NaN compares as false, and its conversion depends on the processor.
+		if err != nil || !(left >= 0 && left <= maxTimeout.Seconds()*1000) {
 			return nil, answerer.New(answerer.BadRequest, "the remaining time is not a number")
 		}
 		rq.deadline = now.Add(time.Duration(left * float64(time.Millisecond)))
@@ -112,6 +115,15 @@
 	return rq, rq.readBody(r, limit)
 }
 
+// release returns the memory of the request's bodies. A nil request is allowed.
+func (rq *request) release() {
+	if rq != nil {
+		rq.lease.release()
+	}
+}
+
+var errRequestTooLong = errors.New("the body is over the limit")
+
 // maxTimeout bounds the timeout that a client may set.
 const maxTimeout = 24 * time.Hour
 
@@ -122,14 +134,20 @@
 	if r.ContentLength == 0 {
 		return nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
-	if err != nil {
-		if int64(len(body)) >= limit {
-			return answerer.New(answerer.TooLarge, "the body is over the limit")
-		}
+	var err error
+	if r.ContentLength > 0 {
+		rq.body, err = rq.lease.readExact(r.Body, r.ContentLength)
+	} else {
+		rq.body, err = rq.lease.readBounded(r.Body, limit, errRequestTooLong)
+	}
+	switch {
+	case errors.Is(err, errRequestTooLong):
+		return answerer.Wrap(err, answerer.TooLarge, "read request body")
+	case errors.Is(err, errBodyMemory):
+		return answerer.Wrap(err, answerer.Overloaded, "read request body")
+	case err != nil:
 		return answerer.Wrap(err, answerer.BadRequest, "read request body")
 	}
-	rq.body = body
 	return nil
 }
 
--- a/internal/carrier/respond.go
+++ b/internal/carrier/respond.go
@@ -68,6 +68,10 @@
 		wait = min(wait, time.Duration(maxRetryFraction*float64(rq.deadline.Sub(now))))
 	}
 	wait = max(wait, minRetryAfter)
+	return formatSeconds(wait)
+}
+
+func formatSeconds(wait time.Duration) string {
 	return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
 }
 
@@ -80,6 +84,9 @@
 	if id != "" {
 		w.Header()[ca.config.Names.RequestID] = []string{id}
 	}
+	if ki.Answer().Status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", formatSeconds(defaultRetryAfter))
+	}
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(ki.Answer().Status)
 }
--- a/internal/meshrunner/keep.go
+++ b/internal/meshrunner/keep.go
@@ -224,7 +224,8 @@
 	defer cancel()
 	target := ru.settings.Load().Target.String()
 	client := http.Client{Transport: &http.Transport{
-		DialContext: (&net.Dialer{}).DialContext, DisableKeepAlives: true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DialContext:            (&net.Dialer{}).DialContext, DisableKeepAlives: true,
 	}}
 	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target+path, nil)
 	if err != nil {
--- a/internal/meshrunner/meshrunner.go
+++ b/internal/meshrunner/meshrunner.go
@@ -143,14 +143,15 @@
 	}
 	ru.settings.Store(se)
 	ru.client = &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: peerCallTimeout}).DialContext,
-		MaxIdleConnsPerHost: 2, IdleConnTimeout: peerIdleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DialContext:            (&net.Dialer{Timeout: peerCallTimeout}).DialContext,
+		MaxIdleConnsPerHost:    2, IdleConnTimeout: peerIdleTimeout,
 	}}
 	ru.peers = &peers{runner: ru, lastHello: map[netip.AddrPort]time.Time{}}
 	ru.gate = carrier.NewGate(se.Target, pa.Now)
 	ru.carrier = carrier.New(carrier.Config{
 		Self: se.Nodes, DataCentre: se.DataCentre, Names: pa.Names,
-		Budget: se.Budget, LinkRate: se.LinkRate, Now: pa.Now,
+		Budget: se.Budget, LinkRate: se.LinkRate, Memory: se.Memory, Now: pa.Now,
 		Caller: func() string { return ru.settings.Load().Service },
 	}, ru.gate, pa.Events, pa.Metrics)
 	ru.operator = replicator.New(replicator.Config{
@@ -187,7 +188,20 @@
 	idleTimeout = 2 * time.Minute
 )
 
-// serve runs a server at the address until ctx is done.
+// shutdownTimeout bounds the time in which a server completes the requests that
+// it has already accepted when it is stopped.
+const shutdownTimeout = 400 * time.Millisecond
+
+// shutDown stops the server without cutting off requests that it has just accepted.
+func shutDown(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		_ = server.Close()
+	}
+}
+
+// serve runs a server at the address until ctx is done, and reports its end on done.
 func (ru *Runner) serve(
 	ctx context.Context, address netip.AddrPort, ha http.Handler, done chan<- error,
 ) {
@@ -200,12 +214,18 @@
 		done <- err
 		return
 	}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
+	stopped := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		shutDown(server)
+	})
 	err = server.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		err = nil
 	}
+	if !stop() {
+		<-stopped
+	}
 	done <- err
 }
 
