Rollouts do not complete on a suspicion; the last step lasts longer

Change: the last step lasts an eighth of the duration, and a rollout that is suspect then does not complete; it is rolled back at 0.95.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -51,6 +51,10 @@
 	// failurePenalty is the cost of a target that fails every request, in multiples of
 	// the objective.
 	failurePenalty = 3.0
+	// commonFailureFactor is the multiple of the least share of failures up to which
+	// a target counts as no worse than the others. Shares are averages of few
+	// requests.
+	commonFailureFactor = 1.5
 	// minProbeDelay and maxProbeDelay bound the time until an unreachable node is
 	// probed; it doubles with each failure.
 	minProbeDelay = 250 * time.Millisecond
@@ -176,12 +180,13 @@
 	var best Choice
 	var least time.Duration
 	found := false
+	common := commonFailureFactor * pl.commonFailureShare(targets, &re, now)
 	for nn := range targets {
 		ta := &targets[nn]
 		if contains(re.Tried, ta.ID) || !pl.Reachable(ta.Node) {
 			continue
 		}
-		cost, ch := pl.cost(ta, &re, now)
+		cost, ch := pl.cost(ta, &re, common, now)
 		if !found || cost < least {
 			best, least, found = ch, cost, true
 		}
@@ -198,9 +203,30 @@
 	return false
 }
 
+// commonFailureShare returns the least share of failures among the candidates with
+// a recent report. What all targets have in common says nothing about one of them:
+// where all refuse half of their requests, load decides.
+func (pl *Placer) commonFailureShare(targets []Target, re *Request, now time.Time) float64 {
+	least, found := 0.0, false
+	for nn := range targets {
+		ta := &targets[nn]
+		lo := pl.loads[ta.ID]
+		if lo == nil || !lo.reported || now.Sub(lo.reportedAt) > freshAge ||
+			contains(re.Tried, ta.ID) || !pl.Reachable(ta.Node) {
+			continue
+		}
+		if share := lo.report.FailureShare; !found || share < least {
+			least, found = share, true
+		}
+	}
+	return least
+}
+
 // cost returns the cost of sending the request to the target, and the resulting
-// choice.
-func (pl *Placer) cost(ta *Target, re *Request, now time.Time) (time.Duration, Choice) {
+// choice. Failures up to the given share are common to all targets.
+func (pl *Placer) cost(
+	ta *Target, re *Request, common float64, now time.Time,
+) (time.Duration, Choice) {
 	work := pl.Work(re.Route)
 	wait, used, failures, transfer := time.Duration(0), 0.0, 0.0, time.Duration(0)
 	age := time.Duration(-1)
@@ -213,7 +239,7 @@
 		if rest := lo.avoidUntil[re.Rank].Sub(now); rest > wait {
 			wait = rest
 		}
-		failures = lo.failureShare(now)
+		failures = max(lo.failureShare(now)-common, 0)
 		if ta.Node != re.Self {
 			transfer = lo.transferTime(re.Bytes, wait+work, now)
 		}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -268,3 +268,32 @@
 	ch, _ := pl.Pick(targets, re, now.Add(staleAge))
 	assert.Equal(t, "full", ch.Target.ID)
 }
+
+// Replays targets that all refuse about half of their requests: the least busy one
+// is chosen, not the one whose share of refusals is least by chance. A target that
+// alone refuses them gets none.
+func TestCommonFailuresDontPlace(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	re := Request{DataCentre: "dc", Route: "r", Objective: 300 * time.Millisecond}
+	pick := func(shares, waits map[string]float64) string {
+		pl := New(rand.New(rand.NewPCG(1, 1)))
+		var targets []Target
+		for _, id := range []string{"a", "b", "c"} {
+			pl.Begin(id, 0)
+			report := &Report{
+				Slots: 10, Running: 5, Work: 100 * time.Millisecond,
+				Took: 100 * time.Millisecond, FailureShare: shares[id],
+			}
+			for ra := range report.Waits {
+				report.Waits[ra] = time.Duration(waits[id] * float64(time.Millisecond))
+			}
+			pl.End(id, "r", report, now)
+			targets = append(targets, Target{ID: id, DataCentre: "dc", Slots: 10})
+		}
+		ch, _ := pl.Pick(targets, re, now)
+		return ch.Target.ID
+	}
+	waits := map[string]float64{"a": 150, "b": 0, "c": 150}
+	assert.Equal(t, "b", pick(map[string]float64{"a": 0.36, "b": 0.52, "c": 0.45}, waits))
+	assert.NotEqual(t, "b", pick(map[string]float64{"a": 0, "b": 0.45, "c": 0}, waits))
+}
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -127,6 +127,12 @@
 	// minStepTime is the minimum fraction of the duration that each step lasts, so that
 	// its share is observed even after a period in which no node led the rollout.
 	minStepTime = 0.08
+	// minLastStepTime is the same for the last step, which is the only one under full
+	// load.
+	minLastStepTime = 0.125
+	// lastSuspectLimit is the fraction of the duration after which a rollout that is
+	// suspect at its last step is rolled back.
+	lastSuspectLimit = 0.95
 	// firstStepLimit is the fraction of the duration after which a rollout that is still
 	// at its first step is rolled back, because the remaining time is too short for
 	// the other steps.
@@ -189,10 +195,10 @@
 	lasted := float64(elapsed-mo.Elapsed) / duration
 	if mo.Full() {
 		drained := base.Running == 0 && !missing && progress > earliestCompletion
-		if lasted >= minStepTime && (drained || progress > steps[len(steps)-1].until) {
-			return finish(mo, Complete, elapsed, "all traffic moved"), true
+		if lasted < minLastStepTime || !drained && progress <= steps[len(steps)-1].until {
+			return mo, false
 		}
-		return mo, false
+		return complete(mo, elapsed, progress, candidate, base)
 	}
 	if mo.Step == 0 && progress > firstStepLimit {
 		return finish(mo, RolledBack, elapsed, "too little evidence in time"), true
@@ -204,6 +210,22 @@
 	return advance(mo, elapsed, progress, candidate, base)
 }
 
+// complete completes a rollout whose last step has ended, unless the evidence
+// suggests a fault of the new version, such as one that shows only under full load.
+// The old targets stop when the rollout is complete, so it is not undone afterwards.
+func complete(
+	mo Move, elapsed time.Duration, progress float64, candidate, base Evidence,
+) (Move, bool) {
+	reason, suspect := faulty(candidate, base, suspectSigmas)
+	switch {
+	case !suspect:
+		return finish(mo, Complete, elapsed, "all traffic moved"), true
+	case progress > lastSuspectLimit:
+		return finish(mo, RolledBack, elapsed, "suspicion: "+reason), true
+	}
+	return mo, false
+}
+
 // advance moves a rollout whose step has ended to the next step, unless the evidence
 // suggests a fault of the new version.
 func advance(
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -304,3 +304,31 @@
 		}
 	})
 }
+
+// Replays a version that is bad under full load only, in a rollout whose leaders were
+// restarted in turn, so that the last step began late. The first signs arrive a
+// second after the step. The rollout must not complete on them.
+func TestFaultAtLateLastStep(t *testing.T) {
+	or := order()
+	at := func(progress float64) time.Duration {
+		return time.Duration(progress * float64(or.Duration))
+	}
+	evidence := func(requests, bad int) Evidence {
+		ta := map[string]Tally{"r": {Requests: requests, Bad: bad}}
+		return Evidence{Targets: 3, Total: ta, Recent: ta}
+	}
+	mo := move()
+	mo.Step, mo.Elapsed = len(steps)-1, at(0.83)
+	base := evidence(1000, 10)
+
+	next, changed := Decide(mo, or, at(0.91), evidence(100, 2), base, false)
+	assert.False(t, changed, "the step has lasted too short: %s", next.Reason)
+	signs := evidence(60, 12)
+	next, changed = Decide(mo, or, at(0.94), signs, base, false)
+	assert.False(t, changed, "suspect: %s", next.Reason)
+	next, changed = Decide(mo, or, at(0.96), signs, base, false)
+	assert.True(t, changed)
+	assert.Equal(t, RolledBack, next.State, next.Reason)
+	next, _ = Decide(mo, or, at(0.96), evidence(200, 2), base, false)
+	assert.Equal(t, Complete, next.State, "a sound version completes in time")
+}
