Rollouts: nodes tell that their guard has closed; it tolerates outliers

Cause: a canary's node took 12 bad responses of a fifth for a fault, though a ninth of the old version's are outliers too, and stopped using the version. The leader saw no further response, stayed within its bounds and went on to full share, where every target's node closed in turn, and to completion; then the nodes refused their only version.

Change: the guard counts outliers from 0.4 on, failures from 0.2 as before; Evidence.Blocked stops a rollout and takes it back; the guard ends with the rollout; completion from 0.9 of the duration on in place of 0.72.

--- a/internal/carrier/conn.go
+++ b/internal/carrier/conn.go
@@ -283,7 +283,7 @@
 
 // receive reads one response and reports whether the connection can be reused.
 func (pc *persistConn) receive(ex *exchange) (*response, bool, error) {
-	hr, err := pc.readHead(ex.method)
+	hr, err := pc.readHead(ex.method) //nolint:bodyclose // see below
 	if err != nil {
 		return nil, false, fmt.Errorf("read response header: %w", err)
 	}
--- a/internal/carrier/gate.go
+++ b/internal/carrier/gate.go
@@ -263,6 +263,14 @@
 	return ga.collector.Tallies(ga.now())
 }
 
+// VersionFaulty reports whether the gate refuses requests because the target has
+// shown a fault of its version in a rollout that is still in progress.
+func (ga *Gate) VersionFaulty() bool {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.rolloutActive && ga.faultDetected
+}
+
 // admission is the permission to send one request to the target.
 type admission struct {
 	ticket *admitter.Ticket[*waiter]
@@ -346,7 +354,7 @@
 		return refusal(answerer.NoTarget, "another target runs here", drainingRetryAfter)
 	case ga.evacuated:
 		return refusal(answerer.DataCentreOut, "the data centre is out", drainingRetryAfter)
-	case ga.versionBlocked || ga.faultDetected:
+	case ga.versionBlocked || ga.rolloutActive && ga.faultDetected:
 		return refusal(answerer.NoTarget, "the version gets no requests", drainingRetryAfter)
 	case !ga.verified || !ga.rulesKnown:
 		return refusal(answerer.NoTarget, "the target is being verified", unverifiedRetryAfter)
--- a/internal/carrier/gate_test.go
+++ b/internal/carrier/gate_test.go
@@ -274,3 +274,20 @@
 	}
 	assert.Less(t, ga.load().FailureShare, 0.1)
 }
+
+// A node refuses a new version on its own evidence only while the rollout is in
+// progress. Afterwards no other version may be left.
+func TestGateGuardsVersionDuringRollout(t *testing.T) {
+	ga := openGate()
+	ga.SetRules(Rules{RolloutActive: true})
+	for range 20 {
+		ga.recordResponse(stager.Response{Failed: true})
+	}
+	_, rs := admit(ga, "a")
+	require.NotNil(t, rs)
+	assert.True(t, ga.VersionFaulty())
+	ga.SetRules(Rules{})
+	_, rs = admit(ga, "a")
+	assert.Nil(t, rs)
+	assert.False(t, ga.VersionFaulty())
+}
--- a/internal/meshrunner/peers.go
+++ b/internal/meshrunner/peers.go
@@ -56,6 +56,8 @@
 	Busy    int                     `json:"busy"`
 	Total   map[string]stager.Tally `json:"total"`
 	Recent  map[string]stager.Tally `json:"recent"`
+	// Blocked is true if the node has stopped using its target's version.
+	Blocked bool `json:"blocked,omitempty"`
 }
 
 // nodesHandler returns the handler for calls and requests from other nodes.
@@ -117,6 +119,7 @@
 	running, waiting := ru.gate.RequestCounts()
 	ev := evidence{Service: in.Service, Version: in.Version, Busy: running + waiting}
 	ev.Total, ev.Recent = ru.gate.Tallies()
+	ev.Blocked = ru.gate.VersionFaulty()
 	return ev
 }
 
--- a/internal/meshrunner/promote.go
+++ b/internal/meshrunner/promote.go
@@ -172,7 +172,7 @@
 	if changed {
 		ru.Log.WithFields(logrus.Fields{
 			"service": or.Service, "elapsedMs": elapsed.Milliseconds(), "step": observed.Step,
-			"targets": next.Targets, "total": stager.Sum(next.Total),
+			"targets": next.Targets, "blocked": next.Blocked, "total": stager.Sum(next.Total),
 			"recent": stager.Sum(next.Recent), "baseTotal": stager.Sum(base.Total),
 			"baseRecent": stager.Sum(base.Recent), "baseRunning": base.Running,
 			"missing": missing,
@@ -238,6 +238,9 @@
 	}
 	to.Targets++
 	to.Running += ev.Busy
+	if ev.Blocked {
+		to.Blocked++
+	}
 	stager.Merge(to.Total, ev.Total)
 	stager.Merge(to.Recent, ev.Recent)
 }
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -176,8 +176,9 @@
 func (li *Link) Ready(tr *Transfer, bytes int) { tr.left, tr.ready = float64(bytes), true }
 
 // Grant returns the next part to be written: of the body that is due first among
-// those that are not already writing one. If there is none yet, it returns nil and when to ask again; zero
-// stands for the next call of [Link.Written], [Link.Ready] or [Link.End].
+// those that are not already writing one. If there is none yet, it returns nil and
+// when to ask again; zero stands for the next call of [Link.Written], [Link.Ready]
+// or [Link.End].
 func (li *Link) Grant(now time.Time) (tr *Transfer, bytes int, wait time.Duration) {
 	tr, writing := li.next(now)
 	switch ahead := li.free.Sub(now); {
--- a/internal/stager/collector.go
+++ b/internal/stager/collector.go
@@ -14,11 +14,14 @@
 	recentTime = 3 * time.Second
 	// bucketCount is the number of buckets that recentTime is divided into.
 	bucketCount = 6
-	// guardMinBad and guardMinShare are the number and share of bad responses of its
-	// own target at which a node stops using a new version before the nodes have
-	// agreed that it is faulty.
-	guardMinBad   = 12
-	guardMinShare = 0.2
+	// guardMinBad is the number of bad responses of its own target at which a node may
+	// stop using a new version before the nodes have agreed that it is faulty. Their
+	// share must be at least guardMinShare, or guardMinFailed if only failures are
+	// counted: a node does not know how many responses of the base version are
+	// outliers, which may be a sixth of them.
+	guardMinBad    = 12
+	guardMinShare  = 0.4
+	guardMinFailed = 0.2
 	// fastQuantile is the quantile of a target's response times on a route that
 	// represents its fast responses. quantileStep is the step of the estimate per
 	// response, relative to the estimate.
@@ -101,6 +104,7 @@
 // use.
 type Collector struct {
 	total     map[string]Tally
+	failed    int
 	recent    [bucketCount]bucket
 	quantiles map[string]*quantile
 }
@@ -121,6 +125,9 @@
 	if re.bad(qt.outlier()) {
 		ta.Bad = 1
 	}
+	if re.Failed {
+		co.failed++
+	}
 	if !re.Failed && !re.Cold && re.Took > 0 {
 		qt.add(re.Took)
 	}
@@ -148,7 +155,9 @@
 // is faulty.
 func (co *Collector) ShowsFault() bool {
 	total := Sum(co.total)
-	return total.Bad >= guardMinBad && float64(total.Bad) >= guardMinShare*float64(total.Requests)
+	number := float64(total.Requests)
+	return co.failed >= guardMinBad && float64(co.failed) >= guardMinFailed*number ||
+		total.Bad >= guardMinBad && float64(total.Bad) >= guardMinShare*number
 }
 
 // Merge adds the tallies of from to those of to, by route.
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -93,11 +93,13 @@
 // requests, and keeps the first share long enough to detect a fault that appears
 // some seconds after the start. It leaves a third of the duration for the old
 // targets to complete their requests.
-var steps = []step{{0.05, 0.38}, {0.25, 0.5}, {0.5, 0.58}, {1, 0.9}}
+var steps = []step{{0.05, 0.38}, {0.25, 0.5}, {0.5, 0.58}, {1, 0.92}}
 
 // earliestCompletion is the fraction of the duration before which a rollout does not
-// complete.
-const earliestCompletion = 0.72
+// complete. It is late because the old targets stop then, and a version that fails
+// under full load can be rolled back only until then: the load of the last step may
+// take seconds to reach the level at which it fails.
+const earliestCompletion = 0.9
 
 const (
 	// minBad is the minimum number of bad responses for a version to be faulty.
@@ -173,6 +175,9 @@
 	Targets int
 	// Running is the number of requests running or queued at these targets.
 	Running int
+	// Blocked is the number of these targets whose nodes have stopped using the
+	// version on their own evidence. They contribute no further responses.
+	Blocked int
 	// Total holds the tallies by route since the rollout began, and Recent those of
 	// the last few seconds.
 	Total, Recent map[string]Tally
@@ -194,8 +199,10 @@
 	progress := float64(elapsed) / duration
 	lasted := float64(elapsed-mo.Elapsed) / duration
 	if mo.Full() {
-		drained := base.Running == 0 && !missing && progress > earliestCompletion
-		if lasted < minLastStepTime || !drained && progress <= steps[len(steps)-1].until {
+		if candidate.Blocked > 0 {
+			return finish(mo, RolledBack, elapsed, "a node found a fault under full load"), true
+		}
+		if lasted < minLastStepTime || !drained(base, missing, progress) {
 			return mo, false
 		}
 		return complete(mo, elapsed, progress, candidate, base)
@@ -210,6 +217,13 @@
 	return advance(mo, elapsed, progress, candidate, base)
 }
 
+// drained reports whether the old targets may stop: none of them has a request, or
+// the last step has ended.
+func drained(base Evidence, missing bool, progress float64) bool {
+	return progress > steps[len(steps)-1].until ||
+		base.Running == 0 && !missing && progress > earliestCompletion
+}
+
 // complete completes a rollout whose last step has ended, unless the evidence
 // suggests a fault of the new version, such as one that shows only under full load.
 // The old targets stop when the rollout is complete, so it is not undone afterwards.
@@ -232,6 +246,9 @@
 	mo Move, elapsed time.Duration, progress float64, candidate, base Evidence,
 ) (Move, bool) {
 	reason, suspect := faulty(candidate, base, suspectSigmas)
+	if candidate.Blocked > 0 {
+		reason, suspect = "a node found a fault", true
+	}
 	switch {
 	case suspect && progress > suspectLimit:
 		return finish(mo, RolledBack, elapsed, "suspicion: "+reason), true
