Rollouts: a closed guard counts only if the old version is clearly better

Reproduced beside six busy processes with logs (base 293 bad of 725, new version 106 of 266).

Change: Evidence.Blocked counts if the new version's share of bad responses is above 1.25 times the old one's and 0.04.

--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -108,6 +108,8 @@
 	// addition to baseFactor times that of the base version.
 	badMargin  = 0.08
 	baseFactor = 1.25
+	// blockedMargin is the same margin if a node has stopped using the version.
+	blockedMargin = 0.04
 	// faultSigmas is the number of standard deviations by which the bad responses must
 	// exceed the bound. It is high because each evaluation is another statistical
 	// test.
@@ -199,7 +201,7 @@
 	progress := float64(elapsed) / duration
 	lasted := float64(elapsed-mo.Elapsed) / duration
 	if mo.Full() {
-		if candidate.Blocked > 0 {
+		if blocked(candidate, base) {
 			return finish(mo, RolledBack, elapsed, "a node found a fault under full load"), true
 		}
 		if lasted < minLastStepTime || !drained(base, missing, progress) {
@@ -246,7 +248,7 @@
 	mo Move, elapsed time.Duration, progress float64, candidate, base Evidence,
 ) (Move, bool) {
 	reason, suspect := faulty(candidate, base, suspectSigmas)
-	if candidate.Blocked > 0 {
+	if blocked(candidate, base) {
 		reason, suspect = "a node found a fault", true
 	}
 	switch {
@@ -289,6 +291,18 @@
 	return "", false
 }
 
+// blocked reports whether a node has stopped using the new version for a reason that
+// the base version does not share. Nodes judge their own target alone, while all
+// versions may fail or have outliers, for example on starved processors.
+func blocked(candidate, base Evidence) bool {
+	if candidate.Blocked == 0 {
+		return false
+	}
+	ours, theirs := Sum(candidate.Total), Sum(base.Total)
+	rate := float64(theirs.Bad) / float64(max(theirs.Requests, 1))
+	return float64(ours.Bad) > (blockedMargin+baseFactor*rate)*float64(ours.Requests)
+}
+
 // recentOrTotal returns the recent tally, or the total if the recent one is too small.
 func recentOrTotal(recent, total Tally) Tally {
 	if recent.Requests < minBase {
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -262,6 +262,16 @@
 	next, changed = Decide(late, or, 9*time.Second, blocked, base, false)
 	assert.True(t, changed, "at once while the old targets still run")
 	assert.Equal(t, RolledBack, next.State)
+
+	// On starved processors two fifths of the responses of both versions are outliers.
+	shared := Evidence{
+		Targets: 2, Blocked: 1, Total: map[string]Tally{"r": {Requests: 266, Bad: 106}},
+	}
+	base.Total = map[string]Tally{"r": {Requests: 725, Bad: 293}}
+	_, changed = Decide(late, or, 9*time.Second, shared, base, false)
+	assert.False(t, changed)
+	next, _ = Decide(late, or, 14*time.Second, shared, base, false)
+	assert.Equal(t, Complete, next.State, next.Reason)
 }
 
 func TestSelect(t *testing.T) {
