--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -93,20 +92,6 @@
 	ca.respond(w, rq, vi, rs)
 }
 
-// bodyTimeout bounds the time in which a client has to send the body of a request.
-const bodyTimeout = 30 * time.Second
-
-// limitBodyTime bounds the time to read the request's body until the returned
-// function is called.
-func limitBodyTime(w http.ResponseWriter, r *http.Request, now time.Time) (stop func()) {
-	if r.ContentLength == 0 {
-		return func() {}
-	}
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(now.Add(bodyTimeout))
-	return func() { _ = rc.SetReadDeadline(time.Time{}) }
-}
-
 // path returns the path of the request without its query.
 func (rq *request) path() string {
 	path, _, _ := strings.Cut(rq.uri, "?")
@@ -457,100 +442,3 @@
 	})
 	return allowed
 }
-
-// runRemote sends the request to the target's node.
-func (di *dispatch) runRemote(ctx context.Context, ta placer.Target) *result {
-	na := &di.config.Names
-	rq := di.rq
-	now := di.config.Now()
-	extra := [][2]string{
-		{na.Timeout, milliseconds(rq.deadline.Sub(now))}, {na.Caller, rq.caller},
-		{headerHop, rq.encodeHop(ta.ID, now)},
-	}
-	if rq.sameDataCentre {
-		if text := di.warnings(ta.ID); text != "" {
-			extra = append(extra, [2]string{headerWarning, text})
-		}
-	}
-	re, sent, err := di.pool(ta.Node).send(ctx, &exchange{
-		id: rq.id, idHeader: na.RequestID, method: rq.method, uri: rq.uri, host: rq.host,
-		header: rq.header, body: rq.body, deadline: rq.deadline.Add(2 * responseSlack),
-		extra: extra, lease: rq.lease,
-	}, di.config.Now)
-	switch {
-	case err != nil && !sent:
-		rs := refusal(answerer.NoTarget, err.Error(), 0)
-		rs.nodeFailed = ctx.Err() == nil
-		return rs
-	case err != nil:
-		rs := &result{
-			outcome: retrier.Unknown, kind: answerer.OutcomeUnknown, detail: err.Error(),
-			reached: true,
-		}
-		switch {
-		case ctx.Err() != nil:
-			rs.kind = answerer.Cancelled
-		case isTimeout(err) && !di.config.Now().Before(rq.deadline):
-			rs.kind = answerer.DeadlineExceeded
-		default:
-			rs.nodeFailed = true
-		}
-		return rs
-	}
-	di.applyWarnings(re.header)
-	return decodeNodeResponse(re)
-}
-
-// applyWarnings applies the loads of degraded targets that another node reported.
-func (ca *Carrier) applyWarnings(header http.Header) {
-	text := header.Get(headerWarning)
-	if text == "" {
-		return
-	}
-	delete(header, headerWarning)
-	now := ca.config.Now()
-	ca.mu.Lock()
-	defer ca.mu.Unlock()
-	for _, wa := range decodeWarnings(text) {
-		ca.placer.Warn(wa, now)
-	}
-}
-
-// decodeNodeResponse converts the response of another node to a result.
-func decodeNodeResponse(re *response) *result {
-	report := decodeLoad(re.header.Get(headerLoad))
-	if report != nil {
-		report.Link = decodeLink(re.header.Get(headerLink))
-	}
-	if text := re.header.Get(headerRefused); text != "" {
-		parts := strings.Split(text, " ")
-		rs := refusal(answerer.Overloaded, "the target's node refused", 0)
-		rs.report = report
-		if ki, ok := answerer.ParseKind(parts[0]); ok {
-			rs.kind = ki
-		}
-		if len(parts) > 1 {
-			if ms, err := strconv.Atoi(parts[1]); err == nil {
-				rs.retryAfter = time.Duration(ms) * time.Millisecond
-			}
-		}
-		if len(parts) > 2 {
-			rs.reached = parts[2] == flagReached
-			rs.linkFull = parts[2] == flagLinkFull
-		}
-		return rs
-	}
-	if text := re.header.Get(headerUnknown); text != "" {
-		rs := &result{
-			outcome: retrier.Unknown, kind: answerer.OutcomeUnknown, reached: true,
-			detail: "the target's node does not know the outcome", report: report,
-		}
-		if ki, ok := answerer.ParseKind(text); ok {
-			rs.kind = ki
-		}
-		return rs
-	}
-	delete(re.header, headerLoad)
-	delete(re.header, headerLink)
-	return &result{outcome: retrier.Answered, response: re, reached: true, report: report}
-}
--- a/internal/carrier/request.go
+++ b/internal/carrier/request.go
@@ -127,6 +127,20 @@
 // maxTimeout bounds the timeout that a client may set.
 const maxTimeout = 24 * time.Hour
 
+// bodyTimeout bounds the time in which a client has to send the body of a request.
+const bodyTimeout = 30 * time.Second
+
+// limitBodyTime bounds the time to read the request's body until the returned
+// function is called.
+func limitBodyTime(w http.ResponseWriter, r *http.Request, now time.Time) (stop func()) {
+	if r.ContentLength == 0 {
+		return func() {}
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(now.Add(bodyTimeout))
+	return func() { _ = rc.SetReadDeadline(time.Time{}) }
+}
+
 func (rq *request) readBody(r *http.Request, limit int64) error {
 	if r.ContentLength > limit {
 		return answerer.New(answerer.TooLarge, "the body is over the limit")
--- a/internal/meshrunner/leave.go
+++ b/internal/meshrunner/leave.go
@@ -25,7 +25,8 @@
 	drainPollInterval = 50 * time.Millisecond
 )
 
-// reload reads the settings again. Addresses keep their values from the start.
+// reload reads the settings again. Addresses, the link's rate and the memory limit
+// keep their values from the start.
 func (ru *Runner) reload(trigger string) {
 	se, err := ru.Reload()
 	if err != nil {
