A restored target is published; rollouts complete from 0.72 on again

With completion from 0.9 of the time on, the old targets also stopped in the middle of a burst; and a stop was held up to 0.4 s by calls of other nodes that wait for news.

Change: restoreTarget asks for publication; earliestCompletion is 0.72 and the last step ends at 0.9, as on; waiting calls end at a stop.

--- a/internal/meshrunner/keep.go
+++ b/internal/meshrunner/keep.go
@@ -146,6 +146,8 @@
 		"target": en.Target, "version": en.Version, "leaving": en.Leaving, "offset": rc.Offset,
 	}).Info("target restored from the store")
 	ru.refreshView()
+	// The entry in the store may still say that the node is leaving.
+	ru.requestPublish()
 }
 
 // refreshView rebuilds the view after a change of the local target.
--- a/internal/meshrunner/meshrunner.go
+++ b/internal/meshrunner/meshrunner.go
@@ -241,7 +241,7 @@
 	}).Info("start")
 
 	servers := map[netip.AddrPort]http.Handler{
-		se.Nodes: ru.nodesHandler(), se.Clients: ru.carrier.Clients(),
+		se.Nodes: ru.nodesHandler(ctx), se.Clients: ru.carrier.Clients(),
 		se.Ready: ru.Parts.Ready(ru), se.Control: ru.Control(ru),
 	}
 	if se.Metrics.IsValid() {
--- a/internal/meshrunner/peers.go
+++ b/internal/meshrunner/peers.go
@@ -60,13 +60,19 @@
 	Blocked bool `json:"blocked,omitempty"`
 }
 
-// nodesHandler returns the handler for calls and requests from other nodes.
-func (ru *Runner) nodesHandler() http.Handler {
+// nodesHandler returns the handler for calls and requests from other nodes. Calls
+// that wait for news end when ctx does, so that they don't hold up a stop.
+func (ru *Runner) nodesHandler(ctx context.Context) http.Handler {
 	requests := ru.carrier.Nodes()
 	mux := http.NewServeMux()
 	mux.HandleFunc(sincePath, ru.serveSince)
 	mux.HandleFunc(helloPath, ru.serveHello)
-	mux.HandleFunc(relayPath, ru.serveRelay)
+	mux.HandleFunc(relayPath, func(w http.ResponseWriter, r *http.Request) {
+		waiting, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		defer context.AfterFunc(ctx, cancel)()
+		ru.serveRelay(w, r.WithContext(waiting))
+	})
 	mux.HandleFunc(evidencePath, ru.serveEvidence)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if ru.carrier.IsHop(r) {
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -93,13 +93,11 @@
 // requests, and keeps the first share long enough to detect a fault that appears
 // some seconds after the start. It leaves a third of the duration for the old
 // targets to complete their requests.
-var steps = []step{{0.05, 0.38}, {0.25, 0.5}, {0.5, 0.58}, {1, 0.92}}
+var steps = []step{{0.05, 0.38}, {0.25, 0.5}, {0.5, 0.58}, {1, 0.9}}
 
 // earliestCompletion is the fraction of the duration before which a rollout does not
-// complete. It is late because the old targets stop then, and a version that fails
-// under full load can be rolled back only until then: the load of the last step may
-// take seconds to reach the level at which it fails.
-const earliestCompletion = 0.9
+// complete.
+const earliestCompletion = 0.72
 
 const (
 	// minBad is the minimum number of bad responses for a version to be faulty.
