stager: compare failures apart from outliers

Cause: failures and outliers were one figure. On the route concerned 126 of 493 responses of the sound base version are outliers (quantile of the target, three times), so that 17 failures of 77 stayed within 1.25 times that share plus 8 in 100.

Change: tallies count failures apart and compare them on their own, with a margin of 1 in 100 (5 in 100 once the base version receives nothing, since a fault of the surroundings then has no counterpart) and by the likelihood ratio, as the normal approximation fails for counts of two or three. A version whose failures are suspect is taken back once it has had 7 in 100 of the rollout's requests, instead of being held at a quarter or half of the traffic. Connections that break within 50 ms count as one failure: otherwise the crash of one canary, which fails all its requests at once, takes a good version back. The same sum in `blocked` is mended too. The comparison moved to a file of its own.

Tests, which fail on: TestOutliersDoNotHideFailures, TestBlockedForFailures, TestCrashIsOneFailure (the last two with the new field added). TestGoodVersionsCompleteBesideFailures guards the other side. TestGateRefusesFaultyVersion names the new field of the tally, nothing else.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -274,6 +274,8 @@
 	report *placer.Report
 	// reached is true if the request may have reached the target.
 	reached bool
+	// broken is true if the connection to the target broke.
+	broken bool
 	// linkFull is true if the request was refused because its response could not
 	// leave the target's VM in time.
 	linkFull bool
--- a/internal/carrier/last.go
+++ b/internal/carrier/last.go
@@ -196,6 +196,8 @@
 			rs.kind = answerer.Cancelled
 		case isTimeout(err):
 			rs.kind = answerer.DeadlineExceeded
+		default:
+			rs.broken = true
 		}
 		return rs
 	case re.status == http.StatusMisdirectedRequest:
@@ -236,7 +238,7 @@
 		})
 		return
 	}
-	re := stager.Response{Took: took, Failed: rs.failed()}
+	re := stager.Response{Took: took, Failed: rs.failed(), Broken: rs.broken}
 	if rq.route != nil {
 		re.Route, re.Objective = rq.route.Name, rq.route.Objective
 	}
--- a/internal/meshrunner/promote.go
+++ b/internal/meshrunner/promote.go
@@ -174,6 +174,7 @@
 			"service": or.Service, "elapsedMs": elapsed.Milliseconds(), "step": observed.Step,
 			"targets": next.Targets, "blocked": next.Blocked, "total": stager.Sum(next.Total),
 			"recent": stager.Sum(next.Recent), "baseTotal": stager.Sum(base.Total),
+			"routes": next.Total, "baseRoutes": base.Total,
 			"baseRecent": stager.Sum(base.Recent), "baseRunning": base.Running,
 			"missing": missing,
 		}).Info("rollout evidence")
--- a/internal/stager/collector.go
+++ b/internal/stager/collector.go
@@ -34,6 +34,8 @@
 	// speed. If a version makes part of its responses several times slower, 20% to 33%
 	// of its responses are outliers, compared with 5% for a good version.
 	outlierFactor = 3.0
+	// crashTime is the time within which connections break when a target crashes.
+	crashTime = 50 * time.Millisecond
 )
 
 // Response is a response of a target as observed by its node.
@@ -42,6 +44,8 @@
 	// Failed reports whether the target failed the request or sent an invalid
 	// response.
 	Failed bool
+	// Broken reports whether it failed because the connection broke.
+	Broken bool
 	// Took is the time that the request spent at the target.
 	Took      time.Duration
 	Objective time.Duration
@@ -104,9 +108,11 @@
 // use.
 type Collector struct {
 	total     map[string]Tally
-	failed    int
 	recent    [bucketCount]bucket
 	quantiles map[string]*quantile
+	// lastBroken is the time of the last failure that was counted because the
+	// connection broke.
+	lastBroken time.Time
 }
 
 // NewCollector returns an empty Collector.
@@ -114,8 +120,15 @@
 	return &Collector{total: map[string]Tally{}, quantiles: map[string]*quantile{}}
 }
 
-// Add counts a response.
+// Add counts a response. Connections that break at the same time count as one
+// failure, because a target that crashes or is cut off breaks all of them.
 func (co *Collector) Add(re Response, now time.Time) {
+	if re.Broken {
+		if now.Sub(co.lastBroken) < crashTime {
+			return
+		}
+		co.lastBroken = now
+	}
 	qt := co.quantiles[re.Route]
 	if qt == nil {
 		qt = &quantile{}
@@ -126,7 +139,7 @@
 		ta.Bad = 1
 	}
 	if re.Failed {
-		co.failed++
+		ta.Failed = 1
 	}
 	if !re.Failed && !re.Cold && re.Took > 0 {
 		qt.add(re.Took)
@@ -156,7 +169,7 @@
 func (co *Collector) ShowsFault() bool {
 	total := Sum(co.total)
 	number := float64(total.Requests)
-	return co.failed >= guardMinBad && float64(co.failed) >= guardMinFailed*number ||
+	return total.Failed >= guardMinBad && float64(total.Failed) >= guardMinFailed*number ||
 		total.Bad >= guardMinBad && float64(total.Bad) >= guardMinShare*number
 }
 
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -11,7 +11,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math"
 	"time"
 )
 
@@ -100,29 +99,12 @@
 const earliestCompletion = 0.72
 
 const (
-	// minBad is the minimum number of bad responses for a version to be faulty.
-	minBad = 10
-	// badMargin is the share of bad responses that a good version may have in
-	// addition to baseFactor times that of the base version.
-	badMargin  = 0.08
-	baseFactor = 1.25
-	// blockedMargin is the same margin if a node has stopped using the version.
-	blockedMargin = 0.04
-	// faultSigmas is the number of standard deviations by which the bad responses must
-	// exceed the bound. It is high because each evaluation is another statistical
-	// test.
-	faultSigmas = 4.0
-	// suspectSigmas is the corresponding number at which a rollout does not advance,
-	// and suspectLimit the fraction of the duration after which a rollout that is
-	// held back for this reason is rolled back.
-	suspectSigmas = 1.0
-	suspectLimit  = 0.75
-	// baseSigmas is the number of standard deviations that are added to the observed
-	// share of bad responses of the base version.
-	baseSigmas = 2.0
-	// minBase is the number of recent responses of the base version below which its
-	// total responses are used instead.
-	minBase = 20
+	// suspectLimit is the fraction of the duration after which a rollout that is held
+	// back by a suspicion is rolled back.
+	suspectLimit = 0.75
+	// maxSuspectExposure is the share of the requests of the whole rollout that a
+	// version may receive while its failures are suspect.
+	maxSuspectExposure = 0.07
 	// minRequests is the number of responses of the new version without which a
 	// rollout does not advance.
 	minRequests = 20
@@ -160,13 +142,16 @@
 // Tally counts responses and the bad ones among them.
 type Tally struct {
 	Requests int `json:"requests"`
-	Bad      int `json:"bad"`
+	// Bad counts the failures and the slow responses, Failed only the failures.
+	Bad    int `json:"bad"`
+	Failed int `json:"failed"`
 }
 
 // Add adds other to ta.
 func (ta *Tally) Add(other Tally) {
 	ta.Requests += other.Requests
 	ta.Bad += other.Bad
+	ta.Failed += other.Failed
 }
 
 // Evidence is the observations of the nodes of all targets of one version.
@@ -192,29 +177,35 @@
 	if mo.State != Active {
 		return mo, false
 	}
-	if reason, bad := faulty(candidate, base, faultSigmas); bad {
+	co := comparison{candidate: candidate, base: base, full: mo.Full()}
+	if reason, bad := co.faulty(); bad {
 		return finish(mo, RolledBack, elapsed, reason), true
 	}
 	duration := float64(max(or.Duration, time.Second))
 	progress := float64(elapsed) / duration
+	if co.exposure()*progress > maxSuspectExposure {
+		if reason, suspect := co.suspectFailures(); suspect {
+			return finish(mo, RolledBack, elapsed, "suspicion: "+reason), true
+		}
+	}
 	lasted := float64(elapsed-mo.Elapsed) / duration
 	if mo.Full() {
-		if blocked(candidate, base) {
+		if co.blocked() {
 			return finish(mo, RolledBack, elapsed, "a node found a fault under full load"), true
 		}
 		if lasted < minLastStepTime || !drained(base, missing, progress) {
 			return mo, false
 		}
-		return complete(mo, elapsed, progress, candidate, base)
+		return complete(mo, elapsed, progress, &co)
 	}
 	if mo.Step == 0 && progress > firstStepLimit {
-		return finish(mo, RolledBack, elapsed, "too little evidence in time"), true
+		return finish(mo, RolledBack, elapsed, co.reasonForDelay()), true
 	}
 	if progress < steps[mo.Step].until || lasted < minStepTime ||
 		candidate.Targets == 0 || Sum(candidate.Total).Requests < minRequests {
 		return mo, false
 	}
-	return advance(mo, elapsed, progress, candidate, base)
+	return advance(mo, elapsed, progress, &co)
 }
 
 // drained reports whether the old targets may stop: none of them has a request, or
@@ -227,10 +218,8 @@
 // complete completes a rollout whose last step has ended, unless the evidence
 // suggests a fault of the new version, such as one that shows only under full load.
 // The old targets stop when the rollout is complete, so it is not undone afterwards.
-func complete(
-	mo Move, elapsed time.Duration, progress float64, candidate, base Evidence,
-) (Move, bool) {
-	reason, suspect := faulty(candidate, base, suspectSigmas)
+func complete(mo Move, elapsed time.Duration, progress float64, co *comparison) (Move, bool) {
+	reason, suspect := co.suspect()
 	switch {
 	case !suspect:
 		return finish(mo, Complete, elapsed, "all traffic moved"), true
@@ -242,11 +231,9 @@
 
 // advance moves a rollout whose step has ended to the next step, unless the evidence
 // suggests a fault of the new version.
-func advance(
-	mo Move, elapsed time.Duration, progress float64, candidate, base Evidence,
-) (Move, bool) {
-	reason, suspect := faulty(candidate, base, suspectSigmas)
-	if blocked(candidate, base) {
+func advance(mo Move, elapsed time.Duration, progress float64, co *comparison) (Move, bool) {
+	reason, suspect := co.suspect()
+	if co.blocked() {
 		reason, suspect = "a node found a fault", true
 	}
 	switch {
@@ -266,68 +253,6 @@
 	return mo
 }
 
-// faulty reports whether the new version is worse than the base version by the given
-// number of standard deviations, in the recent or all responses, overall or on one
-// route. If so, it also returns the reason.
-func faulty(candidate, base Evidence, sigmas float64) (string, bool) {
-	if worse(Sum(candidate.Recent), recentOrTotal(Sum(base.Recent), Sum(base.Total)), sigmas) {
-		return "recent responses", true
-	}
-	if worse(Sum(candidate.Total), Sum(base.Total), sigmas) {
-		return "all responses", true
-	}
-	for route, ta := range candidate.Recent {
-		if worse(ta, recentOrTotal(base.Recent[route], base.Total[route]), sigmas) {
-			return "recent responses of route " + route, true
-		}
-	}
-	for route, ta := range candidate.Total {
-		if worse(ta, base.Total[route], sigmas) {
-			return "all responses of route " + route, true
-		}
-	}
-	return "", false
-}
-
-// blocked reports whether a node has stopped using the new version for a reason that
-// the base version does not share. Nodes judge their own target alone, while all
-// versions may fail or have outliers, for example on starved processors.
-func blocked(candidate, base Evidence) bool {
-	if candidate.Blocked == 0 {
-		return false
-	}
-	ours, theirs := Sum(candidate.Total), Sum(base.Total)
-	rate := float64(theirs.Bad) / float64(max(theirs.Requests, 1))
-	return float64(ours.Bad) > (blockedMargin+baseFactor*rate)*float64(ours.Requests)
-}
-
-// recentOrTotal returns the recent tally, or the total if the recent one is too small.
-func recentOrTotal(recent, total Tally) Tally {
-	if recent.Requests < minBase {
-		return total
-	}
-	return recent
-}
-
-// worse reports whether the candidate has significantly more bad responses than the
-// base version, by the given number of standard deviations.
-func worse(candidate, base Tally, sigmas float64) bool {
-	if candidate.Bad < minBad {
-		return false
-	}
-	bound := badMargin
-	if base.Requests > 0 {
-		// Two bad and two good responses are added so that the estimate is not
-		// overconfident for small samples.
-		number := float64(base.Requests) + 4
-		rate := (float64(base.Bad) + 2) / number
-		bound += baseFactor * (rate + baseSigmas*math.Sqrt(rate*(1-rate)/number))
-	}
-	bound = min(bound, 1)
-	number := float64(candidate.Requests)
-	return float64(candidate.Bad) > bound*number+sigmas*math.Sqrt(bound*(1-bound)*number)
-}
-
 // Sum returns the sum of the tallies of all routes.
 func Sum(tallies map[string]Tally) Tally {
 	var total Tally
