meshrunner: join the stored entry with a late heartbeat after a restart

Cause: restoreTarget returned if a heartbeat had named a target, so the stored departure was never read, and the first heartbeat after a start verified the target without a health check; publishEntry then overwrote the departure. Evidence: the log line "target" (sequence of the late heartbeat) stands before where "target restored from the store" should, which does not come; the latter line now bears the entry's sequence.

Change: LocalTarget.Restore joins an earlier entry with what is known, by start and state: a departure of the same incarnation holds, a later incarnation replaces an earlier one. It runs when the entry is read and before the first publication. Only a health check of this process verifies a target that is older than the process; so too after its data centre has come back into service, where a late heartbeat could pass a cold target for a warm one. A heartbeat of a target that fails its checks no longer announces it as usable, and the count of failed checks starts anew after each success.

--- a/internal/carrier/gate.go
+++ b/internal/carrier/gate.go
@@ -20,14 +20,14 @@
 	// errorRateWeight is the weight of the newest request in the moving average
 	// of the share of requests that the target failed or refused.
 	errorRateWeight = 0.05
-	// maxInitialSequence is the highest sequence number of a target that has just
-	// started. A target that is first seen with a higher number may have received
-	// requests from an earlier process of this node.
-	maxInitialSequence = 2
 	// minRestartTime is the minimum time between the end of a node's process and
 	// the start of the next one, which has to load the program and read the
 	// settings.
 	minRestartTime = 250 * time.Millisecond
+	// maxInitialSequence is the highest sequence number of a target that has just
+	// started. A target that is first seen with a higher number may have received
+	// requests from an earlier process of this node.
+	maxInitialSequence = 2
 	// queueCheckInterval is how often waiting requests are checked.
 	queueCheckInterval = 50 * time.Millisecond
 	// drainingRetryAfter is when a caller may retry after a refusal by a draining
@@ -58,7 +58,10 @@
 	// incarnation and its remaining cold time is known. It is reset when the node
 	// has reason to doubt either.
 	verified bool
-	draining bool
+	// checkRequired is true if only a health check can verify the target. A heartbeat
+	// may have been sent seconds ago, before events that this process does not know of.
+	checkRequired bool
+	draining      bool
 	// rulesKnown is true once SetRules has been called.
 	rulesKnown bool
 	// evacuated and versionBlocked are true if the data centre or the version
@@ -86,7 +89,7 @@
 	ga := &Gate{
 		now: now, startTime: now(), pool: po, queue: admitter.New[*waiter](1),
 		collector: stager.NewCollector(), runs: map[string]*run{},
-		slowness: new(admitter.SlownessMeter),
+		slowness: new(admitter.SlownessMeter), checkRequired: true,
 	}
 	// An earlier process may have sent the target requests at the full cold rate
 	// until startTime.
@@ -110,6 +113,8 @@
 		ga.queue.SetSlots(he.Slots)
 		if before.ID != he.ID || !before.Born.Equal(he.Born) {
 			ga.resetTarget()
+			ga.verified = false
+			ga.checkRequired = !ga.startedWithNode(he, now)
 			if ga.neverUsed(he, now) {
 				ga.queue.Release()
 			}
@@ -121,18 +126,24 @@
 	if he.ColdLeft > 0 {
 		ga.queue.SetCold(now.Add(he.ColdLeft))
 	}
-	ga.verified = true
+	ga.verified = ga.verified || !ga.checkRequired
 	ga.notifyWaiters(ga.queue.Advance(now))
 	return hr
 }
 
 // neverUsed reports whether no earlier process of this node can have sent
 // requests to the incarnation: it has just started, or has not been up for longer
-// than this process. After a power loss both start together, and heartbeats are
-// repeated until the node accepts them.
+// than this process.
 func (ga *Gate) neverUsed(he registrar.Heartbeat, now time.Time) bool {
-	return he.Sequence <= maxInitialSequence ||
-		now.Sub(he.Born) <= now.Sub(ga.startTime)+minRestartTime
+	return he.Sequence <= maxInitialSequence || ga.startedWithNode(he, now)
+}
+
+// startedWithNode reports whether the incarnation has not been up for longer than
+// this process, so that no earlier process of the node can have known it. After a
+// power loss both start together, and heartbeats are repeated until the node
+// accepts them.
+func (ga *Gate) startedWithNode(he registrar.Heartbeat, now time.Time) bool {
+	return now.Sub(he.Born) <= now.Sub(ga.startTime)+minRestartTime
 }
 
 // resetTarget discards the state of the previous incarnation.
@@ -157,15 +168,26 @@
 	return true
 }
 
-// Restore adopts the target that an earlier process of the node published. The
-// target receives no requests until it is verified.
-func (ga *Gate) Restore(in registrar.Instance) {
+// Restore joins the target that an earlier process of the node published with what
+// is known of the target, and reports whether that changed the target. A target that
+// it adopts receives no requests until a health check verifies it.
+func (ga *Gate) Restore(in registrar.Instance) bool {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	if ga.local.Current().State == registrar.Unknown {
-		ga.local.Restore(in)
-		ga.queue.SetSlots(in.Slots)
+	before := ga.local.Current()
+	if !ga.local.Restore(in) {
+		return false
 	}
+	cu := ga.local.Current()
+	if before.State != registrar.Unknown && !before.Born.Equal(cu.Born) {
+		ga.resetTarget()
+	}
+	ga.verified, ga.checkRequired = false, true
+	ga.queue.SetSlots(cu.Slots)
+	if cu.State == registrar.Leaving {
+		ga.refuseWaiting(answerer.Draining, "the target leaves")
+	}
+	return true
 }
 
 // Verify processes the result of a health check. It reports whether the target
@@ -181,7 +203,7 @@
 	if coldLeft > 0 {
 		ga.queue.SetCold(now.Add(coldLeft))
 	}
-	ga.verified = true
+	ga.verified, ga.checkRequired = true, false
 	ga.notifyWaiters(ga.queue.Advance(now))
 	return true
 }
@@ -222,7 +244,8 @@
 	ga.rulesKnown = true
 	ga.queue.SetColdRate(ru.ColdRate)
 	if ga.evacuated && !evacuated {
-		ga.verified = false // targets may be cold when their data centre returns to service
+		// Targets may be cold when their data centre returns to service.
+		ga.verified, ga.checkRequired = false, true
 	}
 	ga.evacuated, ga.versionBlocked, ga.rolloutActive = evacuated, blocked, ru.RolloutActive
 	if evacuated {
--- a/internal/carrier/gate_test.go
+++ b/internal/carrier/gate_test.go
@@ -30,6 +30,7 @@
 	ga := NewGate(netip.MustParseAddrPort("127.0.0.1:1"), time.Now)
 	ga.SetRules(Rules{ColdRate: 30})
 	ga.Heartbeat(heartbeat("a", 1))
+	ga.Verify("a", 0)
 	return ga
 }
 
@@ -108,6 +109,83 @@
 	assert.Nil(t, rs)
 }
 
+// Guards against a late heartbeat that a restarted node takes for the present state:
+// the target that sent it may have left, or become cold, since.
+func TestGateChecksTargetOfEarlierProcess(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	late := heartbeat("a", 1)
+	late.Born = now.Add(-time.Minute)
+	ga := NewGate(netip.MustParseAddrPort("127.0.0.1:1"), func() time.Time { return now })
+	ga.SetRules(Rules{})
+	ga.Heartbeat(late)
+	late.Sequence++
+	ga.Heartbeat(late)
+	_, rs := admit(ga, "a")
+	require.NotNil(t, rs)
+	assert.True(t, ga.NeedsVerification())
+	require.True(t, ga.Verify("a", 0))
+	_, rs = admit(ga, "a")
+	require.Nil(t, rs)
+
+	ga.MarkUnverified()
+	late.Sequence++
+	ga.Heartbeat(late)
+	assert.False(t, ga.NeedsVerification(), "a target that this process has checked")
+	ga.SetRules(Rules{Evacuated: true})
+	ga.SetRules(Rules{})
+	late.Sequence++
+	ga.Heartbeat(late)
+	assert.True(t, ga.NeedsVerification(), "it may have become cold meanwhile")
+
+	fresh := heartbeat("b", 1)
+	fresh.Born = now
+	ga.Heartbeat(fresh)
+	assert.False(t, ga.NeedsVerification(), "a target that has started since")
+}
+
+// Guards against a departure that is lost because a late heartbeat reaches the
+// restarted node before the entry of its earlier process does.
+func TestGateRestoresAfterHeartbeat(t *testing.T) {
+	for name, tc := range map[string]struct {
+		stored registrar.Instance
+		want   registrar.State
+		wantID string
+	}{
+		"departed": {
+			registrar.Instance{Heartbeat: heartbeat("a", 5), State: registrar.Leaving},
+			registrar.Leaving, "a",
+		},
+		"ready": {
+			registrar.Instance{Heartbeat: heartbeat("a", 5), State: registrar.Ready},
+			registrar.Ready, "a",
+		},
+		"departed before the restart": {
+			registrar.Instance{
+				Heartbeat: registrar.Heartbeat{ID: "z", Slots: 2, Born: born.Add(-time.Second)},
+				State:     registrar.Leaving,
+			},
+			registrar.Ready, "a",
+		},
+		"replaced since the heartbeat": {
+			registrar.Instance{
+				Heartbeat: registrar.Heartbeat{ID: "b", Slots: 2, Born: born.Add(time.Second)},
+				State:     registrar.Ready,
+			},
+			registrar.Ready, "b",
+		},
+	} {
+		ga := NewGate(netip.MustParseAddrPort("127.0.0.1:1"), time.Now)
+		ga.SetRules(Rules{})
+		ga.Heartbeat(heartbeat("a", 4))
+		ga.Restore(tc.stored)
+		assert.Equal(t, tc.want, ga.Current().State, name)
+		assert.Equal(t, tc.wantID, ga.Current().ID, name)
+		ga.Heartbeat(heartbeat("a", 6))
+		assert.Equal(t, tc.want, ga.Current().State, "%s, another late heartbeat", name)
+		assert.Equal(t, tc.wantID, ga.Current().ID, name)
+	}
+}
+
 // A restarted node sends a cold target nothing for one second from its own start
 // on, unless the target has just started too: after a power loss each second
 // counts.
--- a/internal/meshrunner/keep.go
+++ b/internal/meshrunner/keep.go
@@ -59,11 +59,11 @@
 			ru.gate.MarkUnverified()
 		}
 		last = now
-		ru.restoreTarget()
-		if ru.gate.NeedsVerification() {
-			if ru.verifyTarget(ctx) {
-				failures = 0
-			} else if failures++; failures == downThreshold {
+		switch {
+		case !ru.gate.NeedsVerification() || ru.verifyTarget(ctx):
+			failures = 0
+		default:
+			if failures++; failures == downThreshold {
 				ru.setDown(true)
 			}
 		}
@@ -125,25 +125,21 @@
 	ru.Log.WithField("node", node.String()).Info("node regained")
 }
 
-// restoreTarget restores the target from the entry that an earlier process of the
-// node published.
+// restoreTarget joins the target with the entry that an earlier process of the node
+// published.
 func (ru *Runner) restoreTarget() {
-	if ru.gate.Current().State != registrar.Unknown {
-		return
-	}
-	self := ru.settings.Load().Nodes
-	key := self.Addr().String()
-	rc, ok := ru.mesh.Get(nodePrefix + key)
+	rc, ok := ru.mesh.Get(ru.ownKey())
 	if !ok {
 		return
 	}
-	en, err := registrar.DecodeEntry(key, rc.Value)
-	if err != nil || en.Target == "" || en.Node != self {
+	self := ru.settings.Load().Nodes
+	en, err := registrar.DecodeEntry(self.Addr().String(), rc.Value)
+	if err != nil || en.Target == "" || en.Node != self || !ru.gate.Restore(en.Instance()) {
 		return
 	}
-	ru.gate.Restore(en.Instance())
 	ru.Log.WithFields(logrus.Fields{
-		"target": en.Target, "version": en.Version, "leaving": en.Leaving, "offset": rc.Offset,
+		"target": en.Target, "version": en.Version, "leaving": en.Leaving,
+		"sequence": en.Sequence, "offset": rc.Offset,
 	}).Info("target restored from the store")
 	ru.refreshView()
 	// The entry in the store may still say that the node is leaving.
--- a/internal/meshrunner/member.go
+++ b/internal/meshrunner/member.go
@@ -39,7 +39,7 @@
 		return err
 	}
 	hr := ru.gate.Heartbeat(he)
-	if hr != registrar.Stale {
+	if hr != registrar.Stale && !ru.gate.NeedsVerification() {
 		ru.setDown(false)
 	}
 	if hr != registrar.Changed {
@@ -139,6 +139,13 @@
 	}
 }
 
+// hasPublished reports whether this process has published an entry.
+func (ru *Runner) hasPublished() bool {
+	ru.mu.Lock()
+	defer ru.mu.Unlock()
+	return ru.published.value != nil
+}
+
 // publishEntry publishes the node's entry if the store holds a different one. It
 // reports whether it has to be called again. ru.publishing must be locked before
 // ru.mu.
@@ -148,6 +155,10 @@
 	if _, primed := ru.mesh.End(); !primed {
 		return true, nil // the node's earlier entry is not known yet
 	}
+	if !ru.hasPublished() {
+		// A heartbeat may have come first, and must not overwrite a departure.
+		ru.restoreTarget()
+	}
 	if ru.operator.Unavailable() {
 		return true, errStoreUnavailable
 	}
@@ -157,7 +168,7 @@
 	}
 	ru.mu.Lock()
 	pu := &ru.published
-	key := nodePrefix + en.Key()
+	key := ru.ownKey()
 	rc, present := ru.mesh.Get(key)
 	if pu.incarnation == 0 {
 		pu.incarnation = 1
--- a/internal/meshrunner/view.go
+++ b/internal/meshrunner/view.go
@@ -1,6 +1,7 @@
 package meshrunner
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -92,6 +93,15 @@
 
 // meshChanged processes changed records of the mesh's topic.
 func (ru *Runner) meshChanged(keys []string) {
+	ru.applyMesh(keys)
+	if slices.Contains(keys, ru.ownKey()) {
+		ru.restoreTarget()
+	}
+	ru.requestPublish()
+}
+
+// applyMesh applies changed records of the mesh's topic and rebuilds the view.
+func (ru *Runner) applyMesh(keys []string) {
 	ru.mu.Lock()
 	defer ru.mu.Unlock()
 	for _, key := range keys {
@@ -109,7 +119,6 @@
 	others := ru.directory.Others(ru.settings.Load().Nodes)
 	ru.otherEntries.Store(&others)
 	ru.rebuildView()
-	ru.requestPublish()
 }
 
 // entries returns the valid entries of all other nodes. They are shared and must
@@ -133,6 +142,11 @@
 	}
 }
 
+// ownKey returns the key of the node's entry.
+func (ru *Runner) ownKey() string {
+	return nodePrefix + ru.settings.Load().Nodes.Addr().String()
+}
+
 // ownEntry returns the node's entry without its position in the sequence of the
 // node's entries.
 func (ru *Runner) ownEntry() registrar.Entry {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -125,15 +125,22 @@
 	return ok && !born.After(latest)
 }
 
-// Restore sets the target from an entry that an earlier process of this node
-// published, unless a target is already known. The target's health check must
-// confirm it.
-func (lt *LocalTarget) Restore(in Instance) {
-	if lt.current.State != Unknown {
-		return
-	}
+// Restore joins the target of an entry that an earlier process of this node published
+// with what is known, and reports whether that changed the current target. The entry
+// may arrive after a heartbeat that was sent before it: its departure still holds, and
+// its incarnation replaces an earlier one. The target's health check must confirm it.
+func (lt *LocalTarget) Restore(in Instance) bool {
 	if lt.hasLeft(in.ID, in.Born) {
 		in.State = Leaving
 	}
-	lt.current = in
+	cu := &lt.current
+	switch {
+	case cu.State == Unknown || in.Born.After(cu.Born):
+		*cu = in
+		return true
+	case in.ID != cu.ID || !in.Born.Equal(cu.Born) || in.State != Leaving || cu.State == Leaving:
+		return false
+	}
+	cu.State = Leaving
+	return true
 }
