carrier: a heartbeat's number does not prove a cold target unused

Cause: a restarted node holds a cold target back for a second, since the process before it may have used the rate. The hold was lifted for a first heard heartbeat with the number 1 or 2. The first heartbeat had gone to the earlier process.

Change: only the target's start counts. It must not lie before that of the process, less the time that a restart takes at least, and not ahead, which a clock that is set back shows. Number 1 proves nothing either, as the acknowledgement may have been lost with the earlier process.

Tests, which fail without the change: TestColdRateAcrossRestart plays two gates in turn in virtual time over times of the kill, of the restart and of heartbeats, with and without the stored entry: 24 in a second before, at most 12 now. TestGateLimitsColdTargetAfterRestart has three more cases.

--- a/internal/carrier/gate.go
+++ b/internal/carrier/gate.go
@@ -24,10 +24,6 @@
 	// the start of the next one, which has to load the program and read the
 	// settings.
 	minRestartTime = 250 * time.Millisecond
-	// maxInitialSequence is the highest sequence number of a target that has just
-	// started. A target that is first seen with a higher number may have received
-	// requests from an earlier process of this node.
-	maxInitialSequence = 2
 	// queueCheckInterval is how often waiting requests are checked.
 	queueCheckInterval = 50 * time.Millisecond
 	// drainingRetryAfter is when a caller may retry after a refusal by a draining
@@ -115,7 +111,7 @@
 			ga.resetTarget()
 			ga.verified = false
 			ga.checkRequired = !ga.startedWithNode(he, now)
-			if ga.neverUsed(he, now) {
+			if !ga.checkRequired {
 				ga.queue.Release()
 			}
 		}
@@ -131,19 +127,15 @@
 	return hr
 }
 
-// neverUsed reports whether no earlier process of this node can have sent
-// requests to the incarnation: it has just started, or has not been up for longer
-// than this process.
-func (ga *Gate) neverUsed(he registrar.Heartbeat, now time.Time) bool {
-	return he.Sequence <= maxInitialSequence || ga.startedWithNode(he, now)
-}
-
 // startedWithNode reports whether the incarnation has not been up for longer than
 // this process, so that no earlier process of the node can have known it. After a
 // power loss both start together, and heartbeats are repeated until the node
-// accepts them.
+// accepts them. The number of a heartbeat proves nothing: the earlier process may
+// have accepted the first one, or even this one. A start that lies ahead shows that
+// the clock was set back.
 func (ga *Gate) startedWithNode(he registrar.Heartbeat, now time.Time) bool {
-	return now.Sub(he.Born) <= now.Sub(ga.startTime)+minRestartTime
+	age := now.Sub(he.Born)
+	return age >= 0 && age <= now.Sub(ga.startTime)+minRestartTime
 }
 
 // resetTarget discards the state of the previous incarnation.
--- a/internal/carrier/gate_test.go
+++ b/internal/carrier/gate_test.go
@@ -225,6 +225,17 @@
 	fresh.Born = start.Add(-time.Second)
 	ga, _ = restarted(fresh)
 	assert.False(t, admitted(ga), "a target that the earlier process may have known")
+	fresh.Sequence = 2
+	ga, _ = restarted(fresh)
+	assert.False(t, admitted(ga), "its second heartbeat, the earlier process had the first")
+	fresh.Sequence = 1
+	ga, _ = restarted(fresh)
+	assert.False(t, admitted(ga), "its first heartbeat, the acknowledgement was lost")
+	ahead := fresh
+	ahead.Born = start.Add(time.Second)
+	ga, _ = restarted(ahead)
+	assert.False(t, admitted(ga), "the clock was set back")
+	fresh.Sequence = 4
 
 	ga = NewGate(netip.MustParseAddrPort("127.0.0.1:1"), func() time.Time { return start })
 	fresh.ColdLeft = 3 * time.Second
@@ -233,6 +244,92 @@
 	assert.False(t, admitted(ga), "nothing was restored")
 }
 
+// coldRestart is a node that is killed while its target is cold and starts again.
+type coldRestart struct {
+	// kill and start are the times from the start of the target, and heartbeat the
+	// interval of its heartbeats.
+	kill, start, heartbeat time.Duration
+	// stored is true if the second process reads the entry of the first at once.
+	stored bool
+}
+
+// starts returns the times, from the start of the target, at which a target with the
+// cold rate is sent requests if there are always more of them.
+func (cr coldRestart) starts(rate float64) []time.Duration {
+	const step = 10 * time.Millisecond
+	birth := time.Unix(1_000, 0)
+	now := birth.Add(-time.Minute)
+	newGate := func() *Gate {
+		ga := NewGate(netip.MustParseAddrPort("127.0.0.1:1"), func() time.Time { return now })
+		ga.SetRules(Rules{ColdRate: rate})
+		return ga
+	}
+	ga := newGate()
+	he := registrar.Heartbeat{ID: "a", Service: "desk", Slots: 100, Born: birth}
+	var starts []time.Duration
+	for elapsed := time.Duration(0); elapsed < 4*time.Second; elapsed += step {
+		now = birth.Add(elapsed)
+		up := elapsed < cr.kill || elapsed >= cr.start
+		if elapsed == cr.start {
+			ga = newGate()
+			if cr.stored {
+				ga.Restore(registrar.Instance{Heartbeat: he, State: registrar.Ready})
+			}
+		}
+		if elapsed%cr.heartbeat == 0 {
+			he.Sequence++
+			he.ColdLeft = 5*time.Second - elapsed
+			if up {
+				ga.Heartbeat(he)
+			}
+		}
+		if up && ga.NeedsVerification() && elapsed%(250*time.Millisecond) == 0 {
+			ga.Verify("a", 5*time.Second-elapsed)
+		}
+		for up {
+			rq := requestFor("a")
+			rq.arrived, rq.deadline, rq.objective = now, now.Add(time.Nanosecond), now
+			ad, rs := ga.admit(context.Background(), rq, time.Nanosecond)
+			if rs != nil {
+				break
+			}
+			ga.markSent(ad)
+			ga.release(ad, 0)
+			starts = append(starts, elapsed)
+		}
+	}
+	return starts
+}
+
+// Guards against a cold target that gets its rate twice, from the process of its node
+// that is killed and from the next one.
+func TestColdRateAcrossRestart(t *testing.T) {
+	const rate = 12
+	for _, heartbeat := range []time.Duration{430, 870, 1500} {
+		for kill := time.Duration(30); kill < 1500; kill += 90 {
+			for gap := time.Duration(260); gap <= 760; gap += 100 {
+				for _, stored := range []bool{false, true} {
+					cr := coldRestart{
+						kill: kill * time.Millisecond, start: (kill + gap) * time.Millisecond,
+						heartbeat: heartbeat * time.Millisecond, stored: stored,
+					}
+					starts := cr.starts(rate)
+					require.NotEmpty(t, starts)
+					for nn, from := range starts {
+						count := 0
+						for _, at := range starts[nn:] {
+							if at-from < time.Second {
+								count++
+							}
+						}
+						require.LessOrEqual(t, count, rate, "%+v, second from %s", cr, from)
+					}
+				}
+			}
+		}
+	}
+}
+
 // A request for an earlier incarnation runs at the one that replaced it in the
 // same service, unless a rollout of that one's version is in progress.
 func TestGateAcceptsForReplacedTarget(t *testing.T) {
