--- a/internal/carrier/conn_test.go
+++ b/internal/carrier/conn_test.go
@@ -131,6 +131,63 @@
 	assert.Empty(t, po.idle, "a connection with a mismatched response is not reused")
 }
 
+// Guards against an earlier refusal that a faulty target writes once more on a kept
+// connection: it must not pass for the answer to the next request, which may run.
+func TestSendSkipsRepeatedRefusals(t *testing.T) {
+	refusal := func(id string) string {
+		return "HTTP/1.1 503 Full\r\nX-Id: " + id + "\r\nX-Not: 1\r\nContent-Length: 0\r\n\r\n"
+	}
+	const noID = "HTTP/1.1 503 Full\r\nX-Not: 1\r\nContent-Length: 0\r\n\r\n"
+	for name, tc := range map[string]struct {
+		// idle is written after the refusal, running after the next request, and last
+		// some time later.
+		idle, running, last string
+		answered            bool
+	}{
+		"while idle":            {refusal("1"), "", response200("2", "ok"), true},
+		"partly while idle":     {refusal("1")[:9], refusal("1")[9:], response200("2", "ok"), true},
+		"while running":         {"", refusal("1"), response200("2", "ok"), true},
+		"with the answer":       {"", "", refusal("1") + response200("2", "ok"), true},
+		"after the answer":      {"", "", response200("2", "ok") + refusal("1"), true},
+		"several":               {"", refusal("1") + refusal("1"), response200("2", "ok"), true},
+		"without an ID":         {"", noID, response200("2", "ok"), true},
+		"and then the end":      {"", refusal("1"), "", false},
+		"without end":           {"", strings.Repeat(refusal("1"), 50), "", false},
+		"in place of an answer": {"", refusal("1"), refusal("1"), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			to := serveConns(t, func(conn net.Conn, requests *bufio.Reader) {
+				defer func() { _ = conn.Close() }()
+				id, ok := readRequestID(requests)
+				if id == "1" {
+					_, _ = io.WriteString(conn, refusal(id)+tc.idle)
+					if _, ok = readRequestID(requests); ok {
+						_, _ = io.WriteString(conn, tc.running)
+					}
+				}
+				if !ok {
+					return
+				}
+				time.Sleep(10 * time.Millisecond)
+				_, _ = io.WriteString(conn, tc.last)
+			})
+			po := newPool(to, time.Second)
+			re, _, err := po.send(context.Background(), exchangeOf("1"), time.Now)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusServiceUnavailable, re.status)
+			re, sent, err := po.send(context.Background(), exchangeOf("2"), time.Now)
+			assert.True(t, sent)
+			if !tc.answered {
+				require.Error(t, err, "the outcome is unknown")
+				return
+			}
+			require.NoError(t, err)
+			assert.Equal(t, http.StatusOK, re.status)
+			assert.Equal(t, "ok", string(re.body))
+		})
+	}
+}
+
 func TestSendRejectsIncompleteResponses(t *testing.T) {
 	for name, text := range map[string]string{
 		"cut in the head":      "HTTP/1.1 200 OK\r\nX-Id: 1\r\n",
