carrier: refuse requests that a planned stop would cut off

Cause: the time for which clients are served knew neither the grace period nor how long requests take. With 6 s of grace only requests of 3 s and more were concerned, with 3 s those of 0.5 s.

Change: the carrier learns the end of the process with the drain. A request that is not expected to complete by then (twice its route's average time) is refused at once with 503, as it has not run, and Retry-After names the node's return. The deadline of others ends with the process, so that the target itself answers. The margin for the exit is at most an eighth of the grace period.

Requests accepted before the signal that outlast the grace period are still cut.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -142,8 +142,9 @@
 	pools   map[netip.AddrPort]*pool
 
 	inFlight         atomic.Int64
-	draining         atomic.Bool
 	rejectingClients atomic.Bool
+	// stopTime is when the process ends; nil unless the node is shutting down.
+	stopTime atomic.Pointer[time.Time]
 }
 
 // New returns a carrier that admits requests to its local target through ga.
@@ -217,10 +218,11 @@
 	ca.placer.MarkUnreachable(node, ca.config.Now())
 }
 
-// Drain starts the shutdown of the node: the gate refuses new requests, and
-// clients are asked to close their connections.
-func (ca *Carrier) Drain() {
-	ca.draining.Store(true)
+// Drain starts the shutdown of the node, whose process ends at the given time: the
+// gate refuses new requests, clients are asked to close their connections, and their
+// requests are refused if they cannot complete by then.
+func (ca *Carrier) Drain(end time.Time) {
+	ca.stopTime.Store(&end)
 	ca.gate.Drain()
 }
 
--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -58,7 +58,7 @@
 	defer ca.inFlight.Add(-1)
 	now := ca.config.Now()
 	w.Header()["Date"] = nil
-	if ca.draining.Load() {
+	if ca.stopTime.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	vi := ca.view.Load()
@@ -86,12 +86,39 @@
 		return
 	}
 	ca.prepare(rq)
+	if rs := ca.checkStop(rq, ca.config.Now()); rs != nil {
+		ca.respond(w, rq, vi, rs)
+		return
+	}
 	rq.acceptLate = rq.returning
 	di := &dispatch{Carrier: ca, rq: rq, view: vi}
 	rs := di.run(r.Context())
 	ca.respond(w, rq, vi, rs)
 }
 
+// stopTimeFactor is the multiple of a route's average processing time that a node
+// which is shutting down must have left to accept a request.
+const stopTimeFactor = 2
+
+// checkStop refuses a request whose response is not expected before the process
+// ends, while the client can still be told that it has not run. The deadline of
+// others is at most the end of the process, so that their targets respond by then.
+func (ca *Carrier) checkStop(rq *request, now time.Time) *result {
+	end := ca.stopTime.Load()
+	if end == nil {
+		return nil
+	}
+	need := stopTimeFactor * ca.averageProcessingTime(rq.route.Name)
+	if now.Add(need).After(*end) {
+		wait := end.Sub(now) + shutdownRetryAfter
+		return refusal(answerer.Draining, "the node ends before a response", wait)
+	}
+	if end.Before(rq.deadline) {
+		rq.deadline = *end
+	}
+	return nil
+}
+
 // path returns the path of the request without its query.
 func (rq *request) path() string {
 	path, _, _ := strings.Cut(rq.uri, "?")
--- a/internal/meshrunner/leave.go
+++ b/internal/meshrunner/leave.go
@@ -18,8 +18,10 @@
 	// requests. The platform checks readiness every second and stops sending work
 	// after two failed checks.
 	drainNoticeTime = 2500 * time.Millisecond
-	// exitMargin is the part of the grace period that is reserved for the exit.
-	exitMargin = 500 * time.Millisecond
+	// exitMargin is the part of the grace period that is reserved for the exit, and
+	// maxExitFraction bounds it as a fraction of a short grace period.
+	exitMargin      = 500 * time.Millisecond
+	maxExitFraction = 0.125
 	// drainPollInterval is how often a draining node checks whether its work is
 	// done.
 	drainPollInterval = 50 * time.Millisecond
@@ -41,15 +43,16 @@
 }
 
 // drain shuts the node down gracefully: the node is no longer ready and its gate
-// refuses new requests. Clients' requests are served for drainNoticeTime and then
-// rejected. drain returns when no request is in flight, or shortly before the
+// refuses new requests. Clients' requests are served for drainNoticeTime, if they can
+// complete before the grace period ends, and then rejected. drain returns when no request is in flight, or shortly before the
 // grace period ends.
 func (ru *Runner) drain(ctx context.Context) {
 	began := ru.Now()
 	grace := ru.settings.Load().Grace
+	grace -= min(exitMargin, time.Duration(maxExitFraction*float64(grace)))
 	ru.draining.Store(true)
 	ru.Log.WithField("busy", ru.carrier.InFlight()).Info("leaving")
-	ru.carrier.Drain()
+	ru.carrier.Drain(began.Add(grace))
 	ru.requestPublish()
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
@@ -59,7 +62,7 @@
 			ru.carrier.RejectClients()
 		}
 		busy := ru.carrier.InFlight()
-		if elapsed >= drainNoticeTime && busy == 0 || elapsed >= grace-exitMargin {
+		if elapsed >= drainNoticeTime && busy == 0 || elapsed >= grace {
 			ru.Log.WithFields(logrus.Fields{
 				"busy": busy, "spentMs": elapsed.Milliseconds(),
 			}).Info("left")
