stager: compare very slow responses apart from slight outliers

Cause: an outlier counted alike whether it took three or eight times as long as the target's quick responses. Histograms of a trial: from 2.8 times on 4 to 10% of the base version's responses, 14 to 22% of this one's, 7 to 14% of a good one's in a burst; from 5.7 times on 0.2 to 0.5%, 5 to 7.5% and 0.2 to 0.5%.

Change: responses from five times on are tallied and compared on their own while the base version receives requests too.

Test: TestPartlySlowVersionsAreRolledBack, which fails without the change.

--- a/internal/stager/collector.go
+++ b/internal/stager/collector.go
@@ -34,6 +34,9 @@
 	// speed. If a version makes part of its responses several times slower, 20% to 33%
 	// of its responses are outliers, compared with 5% for a good version.
 	outlierFactor = 3.0
+	// verySlowFactor is the multiple from which a response counts as very slow. If the
+	// times of requests differ little, few responses of a good version are.
+	verySlowFactor = 5.0
 	// crashTime is the time within which connections break when a target crashes.
 	crashTime = 50 * time.Millisecond
 )
@@ -64,6 +67,13 @@
 	return slow > 0 && re.Took >= slow || outlier > 0 && re.Took >= outlier
 }
 
+// verySlow reports whether the response is very slow compared with the fast responses
+// of its target; zero means that these are unknown.
+func (re *Response) verySlow(fast time.Duration) bool {
+	limit := time.Duration(verySlowFactor * float64(fast))
+	return !re.Failed && !re.Cold && limit > 0 && re.Took >= limit
+}
+
 // quantile estimates the fastQuantile of the response times of a target on a route.
 type quantile struct {
 	// time is the estimate; zero until there are enough samples.
@@ -141,6 +151,9 @@
 	if re.Failed {
 		ta.Failed = 1
 	}
+	if re.verySlow(qt.time) {
+		ta.VerySlow = 1
+	}
 	if !re.Failed && !re.Cold && re.Took > 0 {
 		qt.add(re.Took)
 	}
--- a/internal/stager/comparison.go
+++ b/internal/stager/comparison.go
@@ -15,10 +15,11 @@
 	// baseFactor is the multiple of the base version's share that a good version may
 	// have, in addition to a margin.
 	baseFactor = 1.25
-	// minBad is the minimum number of bad responses, and minFailed that of failures,
-	// for a version to be suspect.
-	minBad    = 10
-	minFailed = 3
+	// minBad is the minimum number of bad responses, minFailed that of failures and
+	// minVerySlow that of very slow responses, for a version to be suspect.
+	minBad      = 10
+	minFailed   = 3
+	minVerySlow = 4
 	// badMargin is the margin for bad responses. Most of them are outliers, whose
 	// number depends on the target and on its load.
 	badMargin = 0.08
@@ -27,6 +28,8 @@
 	// depends on have no counterpart in the base version.
 	failedMargin     = 0.01
 	fullFailedMargin = 0.05
+	// verySlowMargin is the margin for very slow responses.
+	verySlowMargin = 0.01
 	// blockedMargin is the margin for either if a node has stopped using the version.
 	blockedMargin = 0.04
 	// minBase is the number of recent responses of the base version below which its
@@ -44,26 +47,35 @@
 
 // faulty reports whether the candidate is faulty, and why.
 func (co *comparison) faulty() (string, bool) {
-	return co.find(func(candidate, base Tally) bool {
-		return co.failsMore(candidate, base, faultSigmas) || moreBad(candidate, base, faultSigmas)
-	})
+	return co.find(func(candidate, base Tally) bool { return co.worse(candidate, base, faultSigmas) })
 }
 
 // suspect reports whether the candidate may be faulty, and why.
 func (co *comparison) suspect() (string, bool) {
 	return co.find(func(candidate, base Tally) bool {
-		return co.failsMore(candidate, base, suspectSigmas) ||
-			moreBad(candidate, base, suspectSigmas)
+		return co.worse(candidate, base, suspectSigmas)
 	})
 }
 
-// suspectFailures is suspect for failures alone.
-func (co *comparison) suspectFailures() (string, bool) {
+// clearlySuspect is suspect without the bad responses that may be due to load alone.
+// If the candidate receives all requests, these include very slow ones.
+func (co *comparison) clearlySuspect() (string, bool) {
 	return co.find(func(candidate, base Tally) bool {
-		return co.failsMore(candidate, base, suspectSigmas)
+		return co.failsMore(candidate, base, suspectSigmas) ||
+			!co.full && moreVerySlow(candidate, base, suspectSigmas)
 	})
 }
 
+// worse reports whether the candidate has more failures, very slow responses or bad
+// responses in all than the base version, by the given number of standard deviations.
+// Each kind is compared on its own, because the more frequent kinds of the base
+// version would hide the others.
+func (co *comparison) worse(candidate, base Tally, sigmas float64) bool {
+	return co.failsMore(candidate, base, sigmas) ||
+		!co.full && moreVerySlow(candidate, base, sigmas) ||
+		moreBad(candidate, base, sigmas)
+}
+
 // find returns the first kind of responses for which worse reports true: the recent
 // or all responses, overall or on one route.
 func (co *comparison) find(worse func(candidate, base Tally) bool) (string, bool) {
@@ -126,9 +138,7 @@
 }
 
 // failsMore reports whether the candidate has more failures than the base version, by
-// the given number of standard deviations. Failures are compared on their own as well
-// as among the bad responses, because the outliers of the base version would hide
-// them there.
+// the given number of standard deviations.
 func (co *comparison) failsMore(candidate, base Tally, sigmas float64) bool {
 	if candidate.Failed < minFailed {
 		return false
@@ -141,6 +151,16 @@
 	return deviation(candidate.Failed, candidate.Requests, bound) > sigmas
 }
 
+// moreVerySlow reports whether the candidate has more very slow responses than the
+// base version, by the given number of standard deviations.
+func moreVerySlow(candidate, base Tally, sigmas float64) bool {
+	if candidate.VerySlow < minVerySlow {
+		return false
+	}
+	bound := tolerated(base.VerySlow, base.Requests, verySlowMargin)
+	return deviation(candidate.VerySlow, candidate.Requests, bound) > sigmas
+}
+
 // moreBad reports whether the candidate has more bad responses than the base version,
 // by the given number of standard deviations.
 func moreBad(candidate, base Tally, sigmas float64) bool {
--- a/internal/stager/slow_test.go
+++ b/internal/stager/slow_test.go
@@ -91,6 +91,18 @@
 	}
 }
 
+// Guards against outliers of the base version that hide a new version of which one
+// response in eight takes several times as long: such a version was completed.
+func TestPartlySlowVersionsAreRolledBack(t *testing.T) {
+	for _, tc := range []struct{ part, factor float64 }{{0.12, 5.5}, {0.2, 4}, {0.15, 8}} {
+		for seed := range uint64(100) {
+			mo, exposed := simulateSlowRollout(seed, tc.part, tc.factor)
+			assert.Equal(t, RolledBack, mo.State, "%+v, seed %d", tc, seed)
+			assert.Less(t, exposed, exposureBound, "%+v, seed %d", tc, seed)
+		}
+	}
+}
+
 // If all requests are slowed equally, there are no outliers; the version is detected
 // because its responses exceed the objective.
 func TestUniformlySlowVersionsAreRolledBack(t *testing.T) {
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -103,7 +103,7 @@
 	// back by a suspicion is rolled back.
 	suspectLimit = 0.75
 	// maxSuspectExposure is the share of the requests of the whole rollout that a
-	// version may receive while its failures are suspect.
+	// version may receive while its failures or very slow responses are suspect.
 	maxSuspectExposure = 0.07
 	// minRequests is the number of responses of the new version without which a
 	// rollout does not advance.
@@ -142,9 +142,11 @@
 // Tally counts responses and the bad ones among them.
 type Tally struct {
 	Requests int `json:"requests"`
-	// Bad counts the failures and the slow responses, Failed only the failures.
-	Bad    int `json:"bad"`
-	Failed int `json:"failed"`
+	// Bad counts the failures and the slow responses, Failed only the failures, and
+	// VerySlow the responses that are far slower than others of the same target.
+	Bad      int `json:"bad"`
+	Failed   int `json:"failed"`
+	VerySlow int `json:"verySlow"`
 }
 
 // Add adds other to ta.
@@ -152,6 +154,7 @@
 	ta.Requests += other.Requests
 	ta.Bad += other.Bad
 	ta.Failed += other.Failed
+	ta.VerySlow += other.VerySlow
 }
 
 // Evidence is the observations of the nodes of all targets of one version.
@@ -184,7 +187,7 @@
 	duration := float64(max(or.Duration, time.Second))
 	progress := float64(elapsed) / duration
 	if co.exposure()*progress > maxSuspectExposure {
-		if reason, suspect := co.suspectFailures(); suspect {
+		if reason, suspect := co.clearlySuspect(); suspect {
 			return finish(mo, RolledBack, elapsed, "suspicion: "+reason), true
 		}
 	}
