--- a/internal/meshrunner/leave.go
+++ b/internal/meshrunner/leave.go
@@ -44,8 +44,8 @@
 
 // drain shuts the node down gracefully: the node is no longer ready and its gate
 // refuses new requests. Clients' requests are served for drainNoticeTime, if they can
-// complete before the grace period ends, and then rejected. drain returns when no request is in flight, or shortly before the
-// grace period ends.
+// complete before the grace period ends, and then rejected. drain returns when no
+// request is in flight, or shortly before the grace period ends.
 func (ru *Runner) drain(ctx context.Context) {
 	began := ru.Now()
 	grace := ru.settings.Load().Grace
--- a/internal/stager/comparison.go
+++ b/internal/stager/comparison.go
@@ -47,7 +47,9 @@
 
 // faulty reports whether the candidate is faulty, and why.
 func (co *comparison) faulty() (string, bool) {
-	return co.find(func(candidate, base Tally) bool { return co.worse(candidate, base, faultSigmas) })
+	return co.find(func(candidate, base Tally) bool {
+		return co.worse(candidate, base, faultSigmas)
+	})
 }
 
 // suspect reports whether the candidate may be faulty, and why.
@@ -57,12 +59,11 @@
 	})
 }
 
-// clearlySuspect is suspect without the bad responses that may be due to load alone.
-// If the candidate receives all requests, these include very slow ones.
+// clearlySuspect is suspect without the slight outliers, of which load alone may
+// cause many.
 func (co *comparison) clearlySuspect() (string, bool) {
 	return co.find(func(candidate, base Tally) bool {
-		return co.failsMore(candidate, base, suspectSigmas) ||
-			!co.full && moreVerySlow(candidate, base, suspectSigmas)
+		return co.clearlyWorse(candidate, base, suspectSigmas)
 	})
 }
 
@@ -71,9 +72,15 @@
 // Each kind is compared on its own, because the more frequent kinds of the base
 // version would hide the others.
 func (co *comparison) worse(candidate, base Tally, sigmas float64) bool {
+	return co.clearlyWorse(candidate, base, sigmas) || moreBad(candidate, base, sigmas)
+}
+
+// clearlyWorse is worse for failures and very slow responses. The latter count only
+// while the base version receives requests too: a burst that slows every target then
+// shows in both.
+func (co *comparison) clearlyWorse(candidate, base Tally, sigmas float64) bool {
 	return co.failsMore(candidate, base, sigmas) ||
-		!co.full && moreVerySlow(candidate, base, sigmas) ||
-		moreBad(candidate, base, sigmas)
+		!co.full && moreVerySlow(candidate, base, sigmas)
 }
 
 // find returns the first kind of responses for which worse reports true: the recent
