--- a/internal/stager/failure_test.go
+++ b/internal/stager/failure_test.go
@@ -18,19 +18,19 @@
 	slow, failed float64
 }
 
-// measuredLoad is the load of a service in which one route has many outliers, as
+// unevenLoad is the load of a service in which one route has many outliers, as
 // they occur if its requests differ in size.
-var measuredLoad = []routeLoad{
+var unevenLoad = []routeLoad{
 	{"lookup", 178, 0.05, 0}, {"view", 44, 0.01, 0.005}, {"archive", 44, 0.26, 0.002},
 }
 
 // fault draws whether a request to a target of the new version fails.
-type fault func(rd *rand.Rand, elapsed time.Duration, share float64, route string) bool
+type fault func(rd *rand.Rand, elapsed time.Duration, route string) bool
 
 // faultAt returns a fault of the given share of the requests of one route, or of all
 // routes if it is empty, from the given time on.
 func faultAt(route string, part float64, from time.Duration) fault {
-	return func(rd *rand.Rand, elapsed time.Duration, _ float64, ro string) bool {
+	return func(rd *rand.Rand, elapsed time.Duration, ro string) bool {
 		return elapsed >= from && (route == "" || route == ro) && rd.Float64() < part
 	}
 }
@@ -83,7 +83,7 @@
 				}
 				re.Failed = rd.Float64() < rl.failed ||
 					fr.disturb != nil && fr.disturb(rd, elapsed, version, target) ||
-					version == "v2" && fr.fault != nil && fr.fault(rd, elapsed, mo.Share(), rl.name)
+					version == "v2" && fr.fault != nil && fr.fault(rd, elapsed, rl.name)
 				collectors[version][target].Add(re, now)
 			}
 		}
@@ -138,7 +138,7 @@
 	} {
 		for seed := range uint64(100) {
 			fr := failureRollout{
-				load: measuredLoad, targets: 5, fault: faultAt(tc.route, tc.part, tc.from),
+				load: unevenLoad, targets: 5, fault: faultAt(tc.route, tc.part, tc.from),
 			}
 			mo, exposed := fr.run(seed)
 			assert.Equal(t, RolledBack, mo.State, "%+v, seed %d", tc, seed)
@@ -168,7 +168,7 @@
 		"failures of some targets":       {disturb: failAt("v2", 3, 0.03, 6*s, 10*s)},
 		"failures at the last step":      {disturb: failAt("", 3, 0.05, 11*s, 16*s)},
 	} {
-		fr.load, fr.targets = measuredLoad, 5
+		fr.load, fr.targets = unevenLoad, 5
 		completed := 0
 		for seed := range uint64(100) {
 			if mo, _ := fr.run(seed); mo.State == Complete {
