--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -52,6 +52,19 @@
 	return http.HandlerFunc(ca.serveClient)
 }
 
+// MayRunConcurrently reports whether a client's request may run while an earlier
+// request of the same connection is unanswered. If an earlier response closes the
+// connection, the client sends the request again.
+func (ca *Carrier) MayRunConcurrently(r *http.Request) bool {
+	vi := ca.view.Load()
+	if vi == nil {
+		return false
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route := vi.Config.Match(hostName(r.Host), path)
+	return route != nil && route.Kind == matcher.Idempotent
+}
+
 // serveClient handles a request at its first node.
 func (ca *Carrier) serveClient(w http.ResponseWriter, r *http.Request) {
 	ca.inFlight.Add(1)
--- a/internal/meshrunner/meshrunner.go
+++ b/internal/meshrunner/meshrunner.go
@@ -241,13 +241,14 @@
 	}).Info("start")
 
 	servers := map[netip.AddrPort]http.Handler{
-		se.Nodes: ru.nodesHandler(ctx), se.Clients: ru.carrier.Clients(),
-		se.Ready: ru.Parts.Ready(ru), se.Control: ru.Control(ru),
+		se.Nodes: ru.nodesHandler(ctx), se.Ready: ru.Parts.Ready(ru), se.Control: ru.Control(ru),
 	}
 	if se.Metrics.IsValid() {
 		servers[se.Metrics] = ru.metricsHandler()
 	}
-	failed := make(chan error, len(servers))
+	serving := len(servers) + 1
+	failed := make(chan error, serving)
+	go ru.serveClients(ctx, failed)
 	for address, ha := range servers {
 		go ru.serve(ctx, address, ha, failed)
 	}
@@ -266,7 +267,6 @@
 	}
 	// The addresses are free for the node's next process only when the servers
 	// have closed their listeners.
-	serving := len(servers)
 	if err != nil {
 		serving-- // its end has been received
 	}
--- a/internal/meshrunner/settings.go
+++ b/internal/meshrunner/settings.go
@@ -25,6 +25,9 @@
 	Store netip.AddrPort
 	// Memory is the memory limit of the process in bytes, or zero for none.
 	Memory int64
+	// Descriptors is the number of file descriptors that the process may open, or zero
+	// if it is unknown.
+	Descriptors int
 	// Capacity is the number of processors of the VM. It may be fractional.
 	Capacity float64
 	// LinkRate is the rate of the VM's link in bits per second; zero if it is
@@ -76,8 +79,8 @@
 	if !(se.LinkRate >= 0) {
 		errs = append(errs, fmt.Errorf("link rate %v is not positive or zero", se.LinkRate))
 	}
-	if se.Grace < 0 || se.Memory < 0 {
-		errs = append(errs, errors.New("the grace period or the memory limit is negative"))
+	if se.Grace < 0 || se.Memory < 0 || se.Descriptors < 0 {
+		errs = append(errs, errors.New("the grace period or a resource limit is negative"))
 	}
 	if se.ColdFactor < 1 {
 		errs = append(errs, fmt.Errorf("cold rate factor %v is below 1", se.ColdFactor))
