--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -99,8 +99,9 @@
 // accept a connection, such as a lack of descriptors, does not end it.
 func (sv *Server) Serve(ctx context.Context, listener net.Listener) error {
 	defer context.AfterFunc(ctx, func() { _ = listener.Close() })()
+	defer sv.stop()
 	delay := time.Duration(0)
-	for ctx.Err() == nil {
+	for {
 		nc, err := listener.Accept()
 		switch {
 		case err == nil:
@@ -108,7 +109,8 @@
 			sv.start(nc)
 			continue
 		case ctx.Err() != nil:
-			continue
+			_ = listener.Close()
+			return nil
 		case errors.Is(err, net.ErrClosed):
 			return err
 		}
@@ -120,8 +122,6 @@
 		case <-time.After(delay):
 		}
 	}
-	sv.stop()
-	return nil
 }
 
 // start serves a new connection. If there are too many, it first closes one that has
@@ -143,27 +143,73 @@
 // one: of those without a request in flight the one that has not completed a head for
 // longest.
 func (sv *Server) evict() bool {
+	now := sv.config.Now()
+	evicted := sv.evictBy(func(co *conn) (int64, bool) {
+		since, ok := co.evictable()
+		return int64(now.Sub(since)), ok
+	})
+	if evicted {
+		sv.events.record(connEvicted)
+	}
+	return evicted
+}
+
+// evictBy closes the connection with the highest rank, of those without a request in
+// flight, and reports whether there was one.
+func (sv *Server) evictBy(rank func(*conn) (int64, bool)) bool {
 	sv.mu.Lock()
 	var victim *conn
-	var oldest time.Time
+	var highest int64
 	for co := range sv.conns {
-		since, ok := co.evictable()
-		if ok && (victim == nil || since.Before(oldest)) {
-			victim, oldest = co, since
+		if ra, ok := rank(co); ok && (victim == nil || ra > highest) {
+			victim, highest = co, ra
 		}
 	}
-	if victim != nil {
+	claimed := victim != nil && victim.claim()
+	if claimed {
 		sv.removeLocked(victim)
 	}
 	sv.mu.Unlock()
-	if victim == nil {
+	switch {
+	case victim == nil:
 		return false
+	case !claimed:
+		return sv.evictBy(rank) // a request has arrived meanwhile
 	}
-	sv.events.record(connEvicted)
+	sv.memory.release(victim.head.held.Swap(0))
 	victim.abort()
 	return true
 }
 
+// maxHeadEvictions bounds the connections that are closed to make room for a part of a
+// head.
+const maxHeadEvictions = 4
+
+// takeHeadMemory takes memory for a head of the connection. If there is none left, it
+// closes connections with longer incomplete heads, so that clients that hold the memory
+// do not keep the others from being served.
+func (sv *Server) takeHeadMemory(taker *conn, size int64) bool {
+	for range maxHeadEvictions {
+		if sv.memory.take(size) {
+			return true
+		}
+		least := taker.head.held.Load() + size
+		evicted := sv.evictBy(func(co *conn) (int64, bool) {
+			held := co.head.held.Load()
+			if co == taker || held <= least {
+				return 0, false
+			}
+			_, ok := co.evictable()
+			return held, ok
+		})
+		if !evicted {
+			return false
+		}
+		sv.events.record(headMemoryFull)
+	}
+	return sv.memory.take(size)
+}
+
 // remove forgets a connection that has ended.
 func (sv *Server) remove(co *conn) {
 	sv.mu.Lock()
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	// lingerTimeout and maxLingerBytes bound what is read from a client after the last
-	// response. Closing a connection with unread bytes resets it, and the client would
+	// lingerTimeout and maxDrainBytes bound what is read from a client after its last
+	// request. Closing a connection with unread bytes resets it, and the client would
 	// lose the response.
-	lingerTimeout  = 500 * time.Millisecond
-	maxLingerBytes = 256 << 10
+	lingerTimeout = 500 * time.Millisecond
+	maxDrainBytes = 256 << 10
 )
 
 // conn is a connection of a client. One goroutine reads requests; each request is
@@ -46,18 +46,20 @@
 	lastHead time.Time
 	heads    int
 	// stopping is true if the connection is to be closed after the response to the
-	// last request that has started, and closing if that response has been chosen. No
-	// further request is accepted then.
+	// last request that has started, and closing if that response has been chosen or
+	// none is due. No further request is accepted then.
 	stopping, closing bool
+	// draining is true once no further request is read.
+	draining bool
 }
 
 func newConn(sv *Server, nc net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	co := &conn{
 		server: sv, Conn: nc, ctx: ctx, cancel: cancel,
-		head:     headReader{conn: nc, memory: &sv.memory},
 		answered: make(chan struct{}, 1), lastHead: sv.config.Now(),
 	}
+	co.head = headReader{conn: nc, memory: &sv.memory, take: co.takeHeadMemory}
 	co.reader = bufio.NewReaderSize(&co.head, readBufferBytes)
 	return co
 }
@@ -68,29 +70,50 @@
 	defer co.abort()
 	for co.readNext() {
 	}
+	co.drain()
 	co.handlers.Wait()
 	co.mu.Lock()
+	defer co.mu.Unlock()
 	co.dropQueue()
-	co.mu.Unlock()
-	co.linger()
 }
 
-// abort closes the connection and cancels its requests.
+// abort closes the connection and cancels its requests. It cancels them last, so that
+// no handler writes a response to its cancellation.
 func (co *conn) abort() {
-	co.cancel()
 	_ = co.Close()
+	co.cancel()
 }
 
-// linger waits for the client to close the connection after the last response.
-func (co *conn) linger() {
+// drain discards what the client sends after its last request, until it closes the
+// connection or lingerTimeout after the last response. If the client closes the
+// connection earlier, the requests in flight are cancelled.
+func (co *conn) drain() {
+	if co.ctx.Err() != nil {
+		return
+	}
 	co.mu.Lock()
-	closing := co.closing
+	co.draining = true
+	var deadline time.Time
+	if len(co.queue) == 0 {
+		deadline = co.server.config.Now().Add(lingerTimeout)
+	}
+	_ = co.SetReadDeadline(deadline)
 	co.mu.Unlock()
-	if !closing || co.ctx.Err() != nil {
+	_, err := io.CopyN(io.Discard, co.Conn, maxDrainBytes)
+	if isClosed(err) {
+		co.cancel()
+		return
+	}
+	co.handlers.Wait()
+	if err != nil {
 		return
 	}
-	_ = co.SetReadDeadline(co.server.config.Now().Add(lingerTimeout))
-	_, _ = io.CopyN(io.Discard, co.Conn, maxLingerBytes)
+	// The rest stays unread, so that the client stops sending and has time to read
+	// the response.
+	select {
+	case <-time.After(lingerTimeout):
+	case <-co.ctx.Done():
+	}
 }
 
 // evictable reports whether the connection has no request in flight, and since when it
@@ -101,12 +124,25 @@
 	return co.lastHead, len(co.queue) == 0
 }
 
+// claim makes the connection refuse further requests and reports whether none is in
+// flight.
+func (co *conn) claim() bool {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	if len(co.queue) > 0 {
+		return false
+	}
+	co.closing = true
+	return true
+}
+
 // stop closes the connection after its last response; at once if it is idle. A
 // connection that has had no request yet may have one.
 func (co *conn) stop() {
 	co.mu.Lock()
 	co.stopping = true
 	idle := len(co.queue) == 0 && co.awaiting && co.heads > 0
+	co.closing = co.closing || idle
 	co.mu.Unlock()
 	if idle {
 		co.abort()
@@ -116,15 +152,15 @@
 // readNext reads a request and starts or queues it. It reports whether another one may
 // follow.
 func (co *conn) readNext() bool {
-	if !co.awaitRoom() || !co.awaitFirstByte() {
-		co.server.memory.release(co.head.end())
+	if !co.awaitFirstByte() || !co.awaitRoom() {
+		co.server.memory.release(co.endHead())
 		return false
 	}
 	_ = co.SetReadDeadline(co.server.config.Now().Add(co.server.config.HeadTimeout))
 	rq, err := co.readHead()
-	held := co.head.end()
+	held := co.endHead()
 	_ = co.SetReadDeadline(time.Time{})
-	if err == nil && !co.server.memory.take(requestOverheadBytes) {
+	if err == nil && !co.takeHeadMemory(requestOverheadBytes) {
 		err = errHeadMemory
 	} else if err == nil {
 		held += requestOverheadBytes
@@ -135,20 +171,32 @@
 	}
 	ex := newExchange(co, rq, held)
 	if !co.enqueue(ex) {
+		ex.cancel()
 		co.server.memory.release(held)
 		return false
 	}
 	return ex.awaitBody() && !ex.last
 }
 
-// awaitRoom waits until the connection may have another request.
+func (co *conn) takeHeadMemory(size int64) bool {
+	return co.server.takeHeadMemory(co, size)
+}
+
+// endHead returns the memory that is held for the head that has been read.
+func (co *conn) endHead() int64 {
+	rest, _ := co.reader.Peek(co.reader.Buffered())
+	return co.head.end(rest)
+}
+
+// awaitRoom waits until the connection may have another request. It returns false if
+// the connection ends before.
 func (co *conn) awaitRoom() bool {
 	for {
 		co.mu.Lock()
-		count := len(co.queue)
+		count, closing := len(co.queue), co.closing
 		co.mu.Unlock()
-		if count < max(co.server.config.MaxPipelined, 1) {
-			return true
+		if closing || count < max(co.server.config.MaxPipelined, 1) {
+			return !closing
 		}
 		select {
 		case <-co.answered:
@@ -161,12 +209,15 @@
 // awaitFirstByte waits for the next request and skips empty lines before it. If the
 // client has closed the connection, it cancels the requests in flight.
 func (co *conn) awaitFirstByte() bool {
-	co.head.begin(co.server.config.MaxHeadBytes)
 	co.mu.Lock()
 	co.awaiting = true
 	co.setIdleDeadline()
 	co.mu.Unlock()
-	err := co.skipEmptyLines()
+	buffered, _ := co.reader.Peek(co.reader.Buffered())
+	err := co.head.begin(co.server.config.MaxHeadBytes, buffered)
+	if err == nil {
+		err = co.skipEmptyLines()
+	}
 	co.mu.Lock()
 	co.awaiting = false
 	closing, idle := co.closing, len(co.queue) == 0
@@ -176,14 +227,11 @@
 		return false
 	case err == nil:
 		return true
-	case isTimeout(err) && idle:
-		return false
-	case isClosed(err) || isTimeout(err):
+	case isTimeout(err) && idle, isClosed(err):
 		co.cancel()
 		return false
 	}
-	held := co.head.end()
-	co.reject(err, held)
+	co.reject(err, co.endHead())
 	return false
 }
 
@@ -200,31 +248,27 @@
 	_ = co.SetReadDeadline(deadline)
 }
 
+// skipEmptyLines skips carriage returns and line feeds, up to maxEmptyBytes.
 func (co *conn) skipEmptyLines() error {
-	for lines := 0; ; {
+	for range maxEmptyBytes + 1 {
 		next, err := co.reader.Peek(1)
 		if err != nil {
 			return err
 		}
-		switch next[0] {
-		case '\n':
-			if lines++; lines > maxEmptyLines {
-				return errMalformed
-			}
-		case '\r':
-			if lines == maxEmptyLines {
-				return errMalformed
-			}
-		default:
+		if next[0] != '\r' && next[0] != '\n' {
 			return nil
 		}
 		_, _ = co.reader.Discard(1)
 	}
+	return errMalformed
 }
 
 // readHead reads the head of a request.
 func (co *conn) readHead() (*http.Request, error) {
 	rq, err := http.ReadRequest(co.reader)
+	if co.head.err != nil {
+		return nil, co.head.err
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -244,92 +288,9 @@
 		co.cancel()
 		return
 	}
-	co.server.events.record(eventOf(err))
-	co.enqueue(newRejection(co, status))
-}
-
-// enqueue adds a request to the queue and starts it if it may run now. It returns false
-// if the connection accepts no further request.
-func (co *conn) enqueue(ex *exchange) bool {
-	concurrent := ex.mayRunConcurrently()
-	now := co.server.config.Now()
-	co.mu.Lock()
-	defer co.mu.Unlock()
-	if co.closing || co.stopping && len(co.queue) > 0 {
-		return false // the client sends the request again
-	}
-	co.lastHead = now
-	co.heads++
-	co.queue = append(co.queue, ex)
-	if len(co.queue) > 1 {
-		co.server.events.record(requestPipelined)
-	}
-	// Requests run in the order of the queue, so that all that have started can be
-	// answered even if those behind them are dropped.
-	if len(co.queue) == 1 || concurrent && co.started == len(co.queue)-1 {
-		co.startLocked(ex)
-	}
-	return true
-}
-
-func (co *conn) startLocked(ex *exchange) {
-	co.started++
-	co.handlers.Add(1)
-	if co.queue[0] == ex {
-		close(ex.turn)
-	}
-	go ex.run()
-}
-
-// finish removes the first request, whose response has been written, and lets the next
-// one go ahead.
-func (co *conn) finish(ex *exchange) {
-	co.mu.Lock()
-	defer co.mu.Unlock()
-	if co.ctx.Err() != nil || len(co.queue) == 0 || co.queue[0] != ex {
-		return
-	}
-	co.queue = co.queue[1:]
-	co.started--
-	select {
-	case co.answered <- struct{}{}:
-	default:
-	}
-	switch {
-	case co.closing:
-		co.dropQueue()
-		_ = co.SetReadDeadline(co.server.config.Now().Add(lingerTimeout))
-		if tc, ok := co.Conn.(interface{ CloseWrite() error }); ok {
-			_ = tc.CloseWrite()
-		}
-	case len(co.queue) == 0 && co.stopping && co.awaiting:
-		co.abort()
-	case len(co.queue) == 0:
-		co.setIdleDeadline()
-	case co.started == 0:
-		co.startLocked(co.queue[0])
-	default:
-		close(co.queue[0].turn)
-	}
-}
-
-// dropQueue forgets the requests that have not started. The caller must hold co.mu.
-func (co *conn) dropQueue() {
-	for _, ex := range co.queue[co.started:] {
-		co.server.memory.release(ex.held)
+	if co.enqueue(newRejection(co, status)) {
+		co.server.events.record(eventOf(err))
 	}
-	co.queue, co.started = nil, 0
-}
-
-// chooseClose decides whether the connection closes after the response to the first
-// request. It does so if the connection is to be closed and no other request has
-// started.
-func (co *conn) chooseClose(wanted bool) bool {
-	co.mu.Lock()
-	defer co.mu.Unlock()
-	co.stopping = co.stopping || wanted
-	co.closing = co.closing || co.stopping && co.started == 1
-	return co.closing
 }
 
 func isTimeout(err error) bool {
@@ -343,16 +304,3 @@
 		errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.ECONNRESET) ||
 		errors.Is(err, syscall.EPIPE)
 }
-
-// eventOf returns the event of a head that could not be read.
-func eventOf(err error) event {
-	switch {
-	case errors.Is(err, errHeadTooLong):
-		return headTooLong
-	case errors.Is(err, errHeadMemory):
-		return headMemoryFull
-	case isTimeout(err):
-		return headTimedOut
-	}
-	return headMalformed
-}
--- a/internal/acceptor/exchange.go
+++ b/internal/acceptor/exchange.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"runtime/debug"
 	"strconv"
@@ -32,11 +31,13 @@
 	rejection int
 	// last is true if no request may follow.
 	last bool
+	// concurrent is true if the request may run while an earlier one is unanswered.
+	concurrent bool
 	// body is the body of the request; nil if it has none.
 	body *bodyReader
 	// turn is closed when all earlier responses have been written.
 	turn chan struct{}
-	// ended is closed when the handler has returned.
+	// ended is closed when the handler has returned, or will not be called.
 	ended chan struct{}
 
 	header http.Header
@@ -44,6 +45,9 @@
 	// sent is true once the head of the response has been written, and failed if the
 	// response cannot be completed.
 	sent, failed bool
+	// length is the length of the body, or negative if the handler has not set it, and
+	// written the number of its bytes that have been written.
+	length, written int64
 	// pending holds a body whose length the handler has not set.
 	pending bytes.Buffer
 }
@@ -57,10 +61,7 @@
 	}
 	ex.request = rq.WithContext(ctx)
 	if rq.Body != nil && rq.Body != http.NoBody {
-		ex.body = &bodyReader{
-			exchange: ex, from: rq.Body, done: make(chan struct{}),
-			expectContinue: strings.EqualFold(rq.Header.Get("Expect"), "100-continue"),
-		}
+		ex.body = newBodyReader(ex, rq)
 		ex.request.Body = ex.body
 	}
 	return ex
@@ -75,41 +76,49 @@
 }
 
 // mayRunConcurrently reports whether the request may run while an earlier one is
-// unanswered. A body can be read only when all earlier requests have been read.
+// unanswered. A request that expects 100 Continue waits for its turn to write it.
 func (ex *exchange) mayRunConcurrently() bool {
 	if ex.rejection != 0 {
 		return true
 	}
-	concurrent := ex.conn.server.config.Concurrent
-	return ex.body == nil && concurrent != nil && concurrent(ex.request)
-}
-
-// awaitBody waits until the request's body has been read and reports whether the
-// connection is then at the next request.
-func (ex *exchange) awaitBody() bool {
-	if ex.body == nil {
-		return true
-	}
-	select {
-	case <-ex.body.done:
-	case <-ex.ended:
-	case <-ex.conn.ctx.Done():
+	if ex.body != nil && ex.body.expectContinue {
+		return false
 	}
-	return ex.body.complete()
+	concurrent := ex.conn.server.config.Concurrent
+	return concurrent != nil && concurrent(ex.request)
 }
 
 // run handles the request and completes its response.
 func (ex *exchange) run() {
 	co := ex.conn
 	defer co.handlers.Done()
-	defer close(ex.ended)
 	defer co.server.memory.release(ex.held)
 	defer ex.cancel()
-	if !ex.handle() || !ex.complete() {
-		co.abort()
+	ok := ex.handle()
+	close(ex.ended)
+	if ok && ex.complete() {
+		co.finish(ex)
 		return
 	}
-	co.finish(ex)
+	ex.awaitTurn() // the responses to earlier requests are completed
+	co.abort()
+}
+
+// awaitTurn waits until all earlier responses have been written and returns false if
+// the connection ends before. A client that has only closed its side still gets the
+// response.
+func (ex *exchange) awaitTurn() bool {
+	select {
+	case <-ex.turn:
+		return true
+	default:
+	}
+	select {
+	case <-ex.turn:
+		return true
+	case <-ex.conn.ctx.Done():
+		return false
+	}
 }
 
 // handle calls the handler. It returns false if the handler panicked.
@@ -118,6 +127,7 @@
 		if ex.rejection == http.StatusServiceUnavailable {
 			ex.header.Set("Retry-After", "1")
 		}
+		ex.header.Set("Content-Length", "0")
 		ex.WriteHeader(ex.rejection)
 		return true
 	}
@@ -137,28 +147,38 @@
 // complete sends what the handler has not sent. It returns false if the response is not
 // complete.
 func (ex *exchange) complete() bool {
-	if ex.failed {
-		return false
-	}
-	if ex.sent {
-		return true
-	}
 	ex.WriteHeader(http.StatusOK)
-	body := ex.pending.Bytes()
-	if ex.bodyAllowed() && ex.header["Content-Length"] == nil {
-		ex.header["Content-Length"] = []string{strconv.Itoa(len(body))}
+	if !ex.failed && !ex.sent {
+		body := ex.pending.Bytes()
+		if ex.bodyAllowed() && ex.length < 0 {
+			ex.length = int64(len(body))
+			ex.header["Content-Length"] = []string{strconv.Itoa(len(body))}
+		}
+		ex.written += int64(len(body))
+		_ = ex.send(body)
 	}
-	return ex.send(body) == nil
+	return !ex.failed && (ex.written == ex.length || !ex.bodyAllowed())
 }
 
 // Header implements [http.ResponseWriter].
 func (ex *exchange) Header() http.Header { return ex.header }
 
-// WriteHeader implements [http.ResponseWriter].
+// WriteHeader implements [http.ResponseWriter]. It ignores interim responses.
 func (ex *exchange) WriteHeader(status int) {
-	if ex.status == 0 {
-		ex.status = status
+	if ex.status != 0 || status < http.StatusOK {
+		return
+	}
+	ex.status = status
+	values := ex.header["Content-Length"]
+	length, err := int64(-1), error(nil)
+	if len(values) == 1 {
+		length, err = strconv.ParseInt(values[0], 10, 64)
 	}
+	if len(values) > 1 || err != nil || len(values) == 1 && length < 0 {
+		delete(ex.header, "Content-Length")
+		length = -1
+	}
+	ex.length = length
 }
 
 // Write implements [http.ResponseWriter]. It returns when the client's connection has
@@ -166,12 +186,17 @@
 // kept until the handler returns.
 func (ex *exchange) Write(data []byte) (int, error) {
 	ex.WriteHeader(http.StatusOK)
-	if !ex.bodyAllowed() {
+	switch {
+	case !statusAllowsBody(ex.status):
 		return 0, http.ErrBodyNotAllowed
-	}
-	if ex.header["Content-Length"] == nil {
+	case !ex.bodyAllowed():
+		return len(data), nil // the body of the response to a HEAD request
+	case ex.length < 0:
 		return ex.pending.Write(data)
+	case ex.written+int64(len(data)) > ex.length:
+		return 0, http.ErrContentLength
 	}
+	ex.written += int64(len(data))
 	if err := ex.send(data); err != nil {
 		return 0, err
 	}
@@ -179,11 +204,14 @@
 }
 
 func (ex *exchange) bodyAllowed() bool {
-	return ex.status >= 200 && ex.status != http.StatusNoContent &&
-		ex.status != http.StatusNotModified &&
+	return statusAllowsBody(ex.status) &&
 		(ex.request == nil || ex.request.Method != http.MethodHead)
 }
 
+func statusAllowsBody(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // SetReadDeadline bounds the time to read the request's body. It is called through
 // [http.ResponseController].
 func (ex *exchange) SetReadDeadline(at time.Time) error {
@@ -202,9 +230,7 @@
 	if ex.failed {
 		return errConnEnded
 	}
-	select {
-	case <-ex.turn:
-	case <-ex.conn.ctx.Done():
+	if !ex.awaitTurn() {
 		ex.failed = true
 		return errConnEnded
 	}
@@ -240,10 +266,22 @@
 	}
 	cf := &ex.conn.server.config
 	_ = ex.conn.SetWriteDeadline(cf.Now().Add(cf.WriteTimeout))
-	_, err := ex.conn.Conn.Write(data)
+	_, err := ex.conn.Write(data)
 	return err
 }
 
+// The headers that are not taken from the handler, in responses with and without a body.
+// The server itself frames the messages of the connection.
+var (
+	bodyExcluded = map[string]bool{
+		"Connection": true, "Transfer-Encoding": true, "Trailer": true,
+	}
+	noBodyExcluded = map[string]bool{
+		"Connection": true, "Transfer-Encoding": true, "Trailer": true,
+		"Content-Length": true, "Content-Type": true,
+	}
+)
+
 // encodeHead encodes the head of the response. The last response of a connection, and
 // no other, closes it.
 func (ex *exchange) encodeHead(bu *bytes.Buffer) {
@@ -256,73 +294,13 @@
 	bu.WriteByte(' ')
 	bu.WriteString(http.StatusText(ex.status))
 	bu.WriteString("\r\n")
-	for name, values := range ex.header {
-		if name == "Connection" {
-			continue
-		}
-		for _, value := range values {
-			bu.WriteString(name)
-			bu.WriteString(": ")
-			bu.WriteString(value)
-			bu.WriteString("\r\n")
-		}
-	}
-	if ex.rejection != 0 {
-		bu.WriteString("Content-Length: 0\r\n")
+	excluded := bodyExcluded
+	if !statusAllowsBody(ex.status) {
+		excluded = noBodyExcluded
 	}
+	_ = ex.header.WriteSubset(bu, excluded)
 	if ex.conn.chooseClose(wanted) {
 		bu.WriteString("Connection: close\r\n")
 	}
 	bu.WriteString("\r\n")
 }
-
-// bodyReader is the body of a request. It tells the connection when it has been read.
-type bodyReader struct {
-	exchange       *exchange
-	from           io.ReadCloser
-	expectContinue bool
-	// done is closed at the end of the body or an error; whole is then true if the end
-	// was reached.
-	done  chan struct{}
-	whole bool
-	once  sync.Once
-}
-
-// Read implements [io.Reader].
-func (br *bodyReader) Read(data []byte) (int, error) {
-	switch {
-	case br.complete():
-		return 0, io.EOF
-	case br.ended():
-		return 0, io.ErrUnexpectedEOF
-	}
-	if br.expectContinue {
-		br.expectContinue = false
-		if err := br.exchange.write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
-			return 0, err
-		}
-	}
-	nn, err := br.from.Read(data)
-	if err != nil {
-		br.once.Do(func() {
-			br.whole = errors.Is(err, io.EOF)
-			close(br.done)
-		})
-	}
-	return nn, err
-}
-
-// Close implements [io.Closer]. What has not been read is left to the connection.
-func (br *bodyReader) Close() error { return nil }
-
-func (br *bodyReader) ended() bool {
-	select {
-	case <-br.done:
-		return true
-	default:
-		return false
-	}
-}
-
-// complete reports whether the body has been read to its end.
-func (br *bodyReader) complete() bool { return br.ended() && br.whole }
--- a/internal/meshrunner/leave.go
+++ b/internal/meshrunner/leave.go
@@ -27,7 +27,7 @@
 	drainPollInterval = 50 * time.Millisecond
 )
 
-// reload reads the settings again. Addresses, the link's rate and the memory limit
+// reload reads the settings again. Addresses, the link's rate and the resource limits
 // keep their values from the start.
 func (ru *Runner) reload(trigger string) {
 	se, err := ru.Reload()
