--- a/internal/acceptor/pipeline_test.go
+++ b/internal/acceptor/pipeline_test.go
@@ -12,8 +12,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against a slow request that keeps those behind it from running, and against
-// responses in the order of completion.
+// Guards against a slow request that keeps those behind it from running, also those with
+// a body, and against responses in the order of completion.
 func TestPipelinedRunSideBySide(t *testing.T) {
 	second := make(chan struct{})
 	fi := start(t, func(w http.ResponseWriter, r *http.Request) {
@@ -21,12 +21,17 @@
 		case "/1":
 			<-second
 		case "/2":
-			defer close(second)
+			body, err := io.ReadAll(r.Body)
+			assert.NoError(t, err)
+			assert.Equal(t, "abc", string(body))
+			close(second)
 		}
 		echo(w, r)
 	}, nil)
 	cl := fi.dial()
-	cl.get("/1", "/2", "/3")
+	cl.get("/1")
+	cl.send("POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc")
+	cl.get("/3")
 	for _, path := range []string{"/1", "/2", "/3"} {
 		assert.False(t, cl.answer(path))
 	}
--- a/internal/meshrunner/settings_test.go
+++ b/internal/meshrunner/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 )
@@ -13,3 +14,27 @@
 	se.ColdSlack = 0
 	assert.Equal(t, 1.5*13, se.coldRate(13))
 }
+
+// Guards against clients that take the descriptors of connections to targets and nodes,
+// or the memory of requests.
+func TestMaxClientConns(t *testing.T) {
+	for name, tc := range map[string]struct {
+		settings Settings
+		want     int
+	}{
+		"descriptors":  {Settings{Memory: 284 << 20, Descriptors: 4200}, 2000},
+		"memory":       {Settings{Memory: 32 << 20, Descriptors: 8192}, 512},
+		"no limits":    {Settings{}, 1948},
+		"at least one": {Settings{Memory: 1 << 20, Descriptors: 64}, 1},
+	} {
+		assert.Equal(t, tc.want, tc.settings.maxClientConns(), name)
+	}
+}
+
+// Guards against limits that ordinary clients reach: operators allow heads of 16 KiB in
+// 3 s and connections that are idle for 15 s.
+func TestClientLimitsAboveOperators(t *testing.T) {
+	assert.GreaterOrEqual(t, maxHeaderBytes, 16384)
+	assert.GreaterOrEqual(t, headerTimeout, 3*time.Second)
+	assert.GreaterOrEqual(t, idleTimeout, 15*time.Second)
+}
