acceptor: mark all connections before a stop closes the idle ones

TestGracefulStop failed once in 6 runs: the server closed an idle connection before it had marked the others, so a response that was due at that moment did not carry "Connection: close". All connections are now marked first.

TestPipelinedRunSideBySide failed with one processor: it counted the third request as pipelined although the first two could be answered before it was read. The second request now waits for the third, which also requires all three to run at the same time.

go test -race -count=4 ./internal/acceptor ./internal/meshrunner passes, and -count=60 of the tests of stop and order.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -240,8 +240,15 @@
 		all = append(all, co)
 	}
 	sv.mu.Unlock()
+	// All responses close their connection before the first client learns of the end.
+	var idle []*conn
 	for _, co := range all {
-		co.stop()
+		if co.stop() {
+			idle = append(idle, co)
+		}
+	}
+	for _, co := range idle {
+		co.abort()
 	}
 	select {
 	case <-sv.empty:
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -136,17 +136,16 @@
 	return true
 }
 
-// stop closes the connection after its last response; at once if it is idle. A
-// connection that has had no request yet may have one.
-func (co *conn) stop() {
+// stop makes the connection close after its last response and reports whether it is
+// idle, so that it can be closed at once. A connection that has had no request yet may
+// have one.
+func (co *conn) stop() (idle bool) {
 	co.mu.Lock()
+	defer co.mu.Unlock()
 	co.stopping = true
-	idle := len(co.queue) == 0 && co.awaiting && co.heads > 0
+	idle = len(co.queue) == 0 && co.awaiting && co.heads > 0
 	co.closing = co.closing || idle
-	co.mu.Unlock()
-	if idle {
-		co.abort()
-	}
+	return idle
 }
 
 // readNext reads a request and starts or queues it. It reports whether another one may
--- a/internal/acceptor/pipeline_test.go
+++ b/internal/acceptor/pipeline_test.go
@@ -15,7 +15,7 @@
 // Guards against a slow request that keeps those behind it from running, also those with
 // a body, and against responses in the order of completion.
 func TestPipelinedRunSideBySide(t *testing.T) {
-	second := make(chan struct{})
+	second, third := make(chan struct{}), make(chan struct{})
 	fi := start(t, func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/1":
@@ -24,7 +24,10 @@
 			body, err := io.ReadAll(r.Body)
 			assert.NoError(t, err)
 			assert.Equal(t, "abc", string(body))
+			<-third
 			close(second)
+		case "/3":
+			close(third)
 		}
 		echo(w, r)
 	}, nil)
