placer: avoid data centres that are cut off

While a data centre was cut off, requests that spilled over into it found its nodes unreachable one by one, each after a dial or 700 ms without an acknowledgement, because targets without reports look idle. Two nodes of a data centre that fail without a response from it in between now mark it as cut off; a probe of one of its nodes ends that.

A request whose time ran out between two attempts, none of which had run, is refused as not run in place of 504, so that its client may try again. An unknown outcome of an earlier attempt is no longer replaced by a later refusal.

--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -209,7 +209,8 @@
 	for {
 		now = di.config.Now()
 		if !now.Before(di.rq.deadline) {
-			return di.finalResult(expiredResult("the time ran out before an attempt"))
+			return di.finalResult(refusal(answerer.DeadlineExceeded,
+				"the time ran out before an attempt", 0))
 		}
 		ch, rs := di.selectTarget(now)
 		if rs != nil {
@@ -219,17 +220,13 @@
 		if di.isFinal(ctx, rs) {
 			return di.finalResult(rs)
 		}
-		di.lastResult = rs
+		di.keepResult(rs)
 		if vi := di.Carrier.view.Load(); vi != nil {
 			di.view = vi
 		}
 	}
 }
 
-func expiredResult(detail string) *result {
-	return &result{outcome: retrier.Unknown, kind: answerer.DeadlineExceeded, detail: detail}
-}
-
 // finalResult returns the result for the client. A target's response is preferred
 // to none, and a refusal is returned only if no attempt may have run.
 func (di *dispatch) finalResult(rs *result) *result {
@@ -247,6 +244,16 @@
 	return rs
 }
 
+// keepResult keeps the result of an attempt that was not final: the latest one, but none
+// that says less about whether the request has run.
+func (di *dispatch) keepResult(rs *result) {
+	if di.lastResult != nil && rs.outcome == retrier.NotRun &&
+		di.lastResult.outcome != retrier.NotRun {
+		return
+	}
+	di.lastResult = rs
+}
+
 // assignVersion assigns the request to a service and a version.
 func (di *dispatch) assignVersion(now time.Time) {
 	di.mu.Lock()
@@ -411,8 +418,14 @@
 	di.mu.Lock()
 	defer di.mu.Unlock()
 	di.placer.End(ta.ID, di.rq.route.Name, rs.report, now)
+	remote := ta.DataCentre != di.config.DataCentre
 	if rs.nodeFailed {
 		di.placer.MarkUnreachable(ta.Node, now)
+		if remote {
+			di.placer.RecordFailure(ta.DataCentre, ta.Node, now)
+		}
+	} else if remote && rs.report != nil {
+		di.placer.RecordResponse(ta.DataCentre)
 	}
 	if rs.outcome == retrier.NotRun && !rs.reached && rs.kind != answerer.Cancelled {
 		rank := di.rq.rank()
--- /dev/null
+++ b/internal/placer/centre.go
@@ -0,0 +1,87 @@
+package placer
+
+import (
+	"net/netip"
+	"time"
+)
+
+// This file answers the load pattern of a data centre that is cut off while requests
+// spill over into it. Each node knows dozens of targets there, and finding each of them
+// unreachable costs a request the time of a dial. The targets look idle meanwhile,
+// because they send no reports.
+
+// suspectThreshold is the number of nodes of a data centre that fail, without a response
+// from any node there in between, from which the data centre counts as cut off. One node
+// may fail by itself.
+const suspectThreshold = 2
+
+// centre is the reachability of another data centre.
+type centre struct {
+	// failed are the nodes that failed since the last response.
+	failed map[netip.AddrPort]bool
+	// skipped is a node that was not chosen because the data centre is suspected. A
+	// probe of it shows whether the data centre has returned.
+	skipped netip.AddrPort
+	probeAt time.Time
+}
+
+// suspected reports whether the data centre counts as cut off.
+func (ce *centre) suspected() bool {
+	return ce != nil && len(ce.failed) >= suspectThreshold
+}
+
+// RecordFailure records that a node of another data centre could not be reached or did
+// not respond.
+func (pl *Placer) RecordFailure(dataCentre string, node netip.AddrPort, now time.Time) {
+	ce := pl.centres[dataCentre]
+	if ce == nil {
+		ce = &centre{failed: map[netip.AddrPort]bool{}}
+		pl.centres[dataCentre] = ce
+	}
+	if ce.failed[node] = true; len(ce.failed) == suspectThreshold {
+		ce.probeAt = now.Add(minProbeDelay)
+	}
+	pl.centreOf[node] = dataCentre
+}
+
+// RecordResponse records that a node of the data centre responded.
+func (pl *Placer) RecordResponse(dataCentre string) {
+	ce := pl.centres[dataCentre]
+	if ce == nil {
+		return
+	}
+	for node := range ce.failed {
+		delete(pl.centreOf, node)
+	}
+	delete(pl.centres, dataCentre)
+}
+
+// Suspected reports whether the data centre counts as cut off.
+func (pl *Placer) Suspected(dataCentre string) bool { return pl.centres[dataCentre].suspected() }
+
+// usable reports whether requests may be sent to the target's node.
+func (pl *Placer) usable(ta *Target, re *Request) bool {
+	if !pl.Reachable(ta.Node) {
+		return false
+	}
+	ce := pl.centres[ta.DataCentre]
+	if ta.DataCentre == re.DataCentre || !ce.suspected() {
+		return true
+	}
+	ce.skipped = ta.Node
+	return false
+}
+
+// centreProbesDue returns a node of each suspected data centre that is due for a probe.
+func (pl *Placer) centreProbesDue(now time.Time) []netip.AddrPort {
+	var due []netip.AddrPort
+	for dataCentre, ce := range pl.centres {
+		if !ce.suspected() || !ce.skipped.IsValid() || now.Before(ce.probeAt) {
+			continue
+		}
+		due = append(due, ce.skipped)
+		pl.centreOf[ce.skipped] = dataCentre
+		ce.skipped, ce.probeAt = netip.AddrPort{}, now.Add(maxProbeDelay)
+	}
+	return due
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -163,6 +163,10 @@
 	// slowTargets holds the IDs of the targets for which [Report.IsSlow] was true of
 	// the last report.
 	slowTargets map[string]bool
+	// centres are the other data centres with nodes that failed since the last
+	// response, and centreOf the data centres of the failed and the probed nodes.
+	centres  map[string]*centre
+	centreOf map[netip.AddrPort]string
 }
 
 // New returns a Placer that draws its jitter from random.
@@ -170,6 +174,7 @@
 	return &Placer{
 		random: random, loads: map[string]*load{}, nodes: map[netip.AddrPort]*nodeBackoff{},
 		routes: map[string]time.Duration{}, slowTargets: map[string]bool{},
+		centres: map[string]*centre{}, centreOf: map[netip.AddrPort]string{},
 	}
 }
 
@@ -183,7 +188,7 @@
 	common := commonFailureFactor * pl.commonFailureShare(targets, &re, now)
 	for nn := range targets {
 		ta := &targets[nn]
-		if contains(re.Tried, ta.ID) || !pl.Reachable(ta.Node) {
+		if contains(re.Tried, ta.ID) || !pl.usable(ta, &re) {
 			continue
 		}
 		cost, ch := pl.cost(ta, &re, common, now)
@@ -212,7 +217,7 @@
 		ta := &targets[nn]
 		lo := pl.loads[ta.ID]
 		if lo == nil || !lo.reported || now.Sub(lo.reportedAt) > freshAge ||
-			contains(re.Tried, ta.ID) || !pl.Reachable(ta.Node) {
+			contains(re.Tried, ta.ID) || !pl.usable(ta, re) {
 			continue
 		}
 		if share := lo.report.FailureShare; !found || share < least {
@@ -437,11 +442,16 @@
 // MarkReachable records that a node responded.
 func (pl *Placer) MarkReachable(node netip.AddrPort) {
 	delete(pl.nodes, node)
+	if dataCentre, ok := pl.centreOf[node]; ok {
+		pl.RecordResponse(dataCentre)
+		delete(pl.centreOf, node)
+	}
 }
 
-// ProbesDue returns the unreachable nodes that are due for a probe.
+// ProbesDue returns the nodes that are due for a probe: unreachable ones and one of each
+// data centre that counts as cut off.
 func (pl *Placer) ProbesDue(now time.Time) []netip.AddrPort {
-	var due []netip.AddrPort
+	due := pl.centreProbesDue(now)
 	for node, nb := range pl.nodes {
 		if !now.Before(nb.probeAt) {
 			due = append(due, node)
@@ -471,6 +481,7 @@
 			delete(pl.nodes, node)
 		}
 	}
+	maps.DeleteFunc(pl.centreOf, func(node netip.AddrPort, _ string) bool { return !nodes[node] })
 }
 
 // KeepRoutes removes the averages of all routes except the given ones.
