carrier: use the pace that targets announce

Targets may announce how long work takes on their machine as the fourth figure of the load header.

platform decodes the figure; values out of range are ignored. The gate keeps the latest pace with its time and a time-weighted average, which begins anew with each incarnation and after the cold time. Expected work at admission and in the slowness meter is the route's time at the usual pace, scaled by the pace. Nodes of a data centre pass the newest eight paces on in Gs-Warning, with their ages; other responses carry only the target's own pace.

--- a/cmd/guavastall/sidecar.go
+++ b/cmd/guavastall/sidecar.go
@@ -69,6 +69,7 @@
 	store := platform.NewStore(se.Store, log)
 	return meshrunner.New(se, meshrunner.Parts{
 		Decoder: platform.Operator{}, Names: platform.HeaderNames(),
+		Pace:     platform.DecodePace,
 		Operator: store.Operator(), Mesh: store.Mesh(), Status: store.Status(),
 		Control: func(ru *meshrunner.Runner) http.Handler { return platform.ControlHandler(ru) },
 		Ready:   func(ru *meshrunner.Runner) http.Handler { return platform.ReadyHandler(ru) },
--- a/internal/carrier/average.go
+++ b/internal/carrier/average.go
@@ -20,6 +20,7 @@
 	ca.placer.KeepRoutes(names)
 	retainKeys(ca.usualTimeouts, names)
 	retainKeys(ca.processingTimes, names)
+	retainKeys(ca.usualTimes, names)
 	retainKeys(ca.callsPerRun, names)
 	retainKeys(ca.responseBytes, names)
 }
@@ -49,13 +50,18 @@
 const initialTimeFraction = 0.5
 
 // expectedProcessingTime returns the expected processing time of the request at
-// the local target.
+// the local target, at the target's pace if it is known.
 func (ca *Carrier) expectedProcessingTime(rq *request) time.Duration {
 	if rq.route == nil {
 		return 0
 	}
+	now := ca.config.Now()
+	own := ca.gate.pace()
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
+	if usual, ok := ca.usualTimes[rq.route.Name]; ok && own.Pace.Known(now) {
+		return own.Pace.Scale(usual, now)
+	}
 	if work, ok := ca.processingTimes[rq.route.Name]; ok {
 		return work
 	}
@@ -63,11 +69,14 @@
 }
 
 // recordProcessingTime adds a sample of the route's processing time at the local
-// target.
-func (ca *Carrier) recordProcessingTime(route string, took time.Duration) {
+// target, which ran at the given pace; zero if it is unknown.
+func (ca *Carrier) recordProcessingTime(route string, took time.Duration, pace float64) {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
 	updateAverage(ca.processingTimes, route, took)
+	if pace > 0 {
+		updateAverage(ca.usualTimes, route, time.Duration(float64(took)/pace))
+	}
 }
 
 // averageProcessingTime returns the average processing time of the route's
@@ -79,10 +88,16 @@
 }
 
 // observedProcessingTime is like averageProcessingTime, but returns zero until
-// the node has seen a response.
+// the node has seen a response. It includes the local target's pace if that is known,
+// so that a target counts as slow only if it is slower than it announces.
 func (ca *Carrier) observedProcessingTime(route string) time.Duration {
+	now := ca.config.Now()
+	own := ca.gate.pace()
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
+	if work, ok := ca.placer.PacedWork(route, &own.Pace, now); ok {
+		return work
+	}
 	return ca.placer.MeasuredWork(route)
 }
 
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -47,6 +47,8 @@
 	// In health check responses, Instance identifies the target and Cold is the
 	// number of milliseconds for which it remains cold.
 	Instance, Cold string
+	// Load is the target's load in its responses; empty if targets report none.
+	Load string
 }
 
 // Target is a target that a request may be sent to.
@@ -100,6 +102,9 @@
 	Self       netip.AddrPort
 	DataCentre string
 	Names      Names
+	// Pace decodes the pace in a target's load header and reports whether there is a
+	// valid one. It may be nil.
+	Pace func(string) (float64, bool)
 	// Budget limits retries for a service.
 	Budget budgeter.Config
 	// LinkRate is the rate of the VM's link in bits per second; zero if it is no
@@ -130,6 +135,9 @@
 	versionCredits  map[string]float64
 	usualTimeouts   map[string]time.Duration
 	processingTimes map[string]time.Duration
+	// usualTimes is the average processing time of a route's requests at the local
+	// target, as if it had had the usual pace.
+	usualTimes map[string]time.Duration
 	// callsPerRun is the average number of calls that a run of a route makes.
 	callsPerRun map[string]float64
 	// responseBytes is the average size of a response of a route.
@@ -157,6 +165,7 @@
 		versionCredits:  map[string]float64{},
 		usualTimeouts:   map[string]time.Duration{},
 		processingTimes: map[string]time.Duration{},
+		usualTimes:      map[string]time.Duration{},
 		callsPerRun:     map[string]float64{},
 		responseBytes:   map[string]float64{},
 		egress:          newEgress(pacer.New(cf.LinkRate), cf.Now),
@@ -278,6 +287,8 @@
 	reached bool
 	// broken is true if the connection to the target broke.
 	broken bool
+	// pace is the target's pace during the request; zero if unknown.
+	pace float64
 	// linkFull is true if the request was refused because its response could not
 	// leave the target's VM in time.
 	linkFull bool
--- a/internal/carrier/events.go
+++ b/internal/carrier/events.go
@@ -21,6 +21,9 @@
 	// latency is the time from arrival to response, and targetLatency the part of
 	// it spent at the target, both in microseconds.
 	latency, targetLatency metrics.Histogram
+	// targetPace is the last pace that the local target announced, in percent of the
+	// usual one; zero if it has announced none.
+	targetPace metrics.Gauge
 }
 
 func newInstruments(re metrics.Registry) instruments {
@@ -37,6 +40,7 @@
 		refusedLocally: counter("gate.refused"), refusedLink: counter("link.refused"),
 		latency:       histogram("requests.latencyMicros"),
 		targetLatency: histogram("target.latencyMicros"),
+		targetPace:    metrics.GetOrRegisterGauge("target.pace", re),
 	}
 }
 
@@ -79,6 +83,9 @@
 	if rq.target != "" {
 		fields["target"] = rq.target
 	}
+	if rq.targetPace > 0 {
+		fields["pace"] = rq.targetPace
+	}
 	if rq.inner {
 		fields["inner"] = true
 	}
--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -283,7 +283,11 @@
 	if !untried(targets, di.tried) {
 		di.acceptLate()
 	}
+	own := di.gate.pace()
 	di.mu.Lock()
+	if own.Pace.Latest > 0 {
+		di.placer.SetPace(own)
+	}
 	ch, ok := di.placer.Pick(targets, placer.Request{
 		DataCentre: di.config.DataCentre, Self: di.config.Self, Route: di.rq.route.Name,
 		Objective: di.rq.objective.Sub(now), Tried: di.tried, Rank: di.rq.rank(),
@@ -371,7 +375,7 @@
 // attempt sends the request to the target's node, or to the local target.
 func (di *dispatch) attempt(ctx context.Context, ch placer.Choice) *result {
 	di.tried = append(di.tried, ch.Target.ID)
-	di.rq.target = ch.Target.ID
+	di.rq.target, di.rq.targetPace = ch.Target.ID, ch.Pace
 	di.rq.sameDataCentre = ch.Target.DataCentre == di.config.DataCentre
 	di.mu.Lock()
 	di.placer.Begin(ch.Target.ID, di.responseBytes[di.rq.route.Name])
--- a/internal/carrier/first_test.go
+++ b/internal/carrier/first_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -71,7 +72,7 @@
 	}
 	ca.SetView(config("old"))
 	ca.usualTimeout("old", time.Second)
-	ca.recordProcessingTime("old", time.Second)
+	ca.recordProcessingTime("old", time.Second, 1)
 	ca.recordCalls("old", 2)
 	ca.SetView(config("old"))
 	assert.Equal(t, 2.0, ca.expectedCalls("old"))
@@ -79,6 +80,7 @@
 	assert.Negative(t, ca.expectedCalls("old"))
 	assert.Empty(t, ca.usualTimeouts)
 	assert.Empty(t, ca.processingTimes)
+	assert.Empty(t, ca.usualTimes)
 }
 
 // After a restart no processing time is known. A request that could only start
@@ -87,7 +89,7 @@
 	ca := New(Config{Now: time.Now}, openGate(), nil, metrics.NewRegistry())
 	rq := &request{route: &matcher.Route{Name: "scan", Objective: 800 * time.Millisecond}}
 	assert.Equal(t, 400*time.Millisecond, ca.expectedProcessingTime(rq))
-	ca.recordProcessingTime("scan", 300*time.Millisecond)
+	ca.recordProcessingTime("scan", 300*time.Millisecond, 0)
 	assert.Equal(t, 300*time.Millisecond, ca.expectedProcessingTime(rq))
 	assert.Zero(t, ca.expectedProcessingTime(&request{}))
 }
@@ -97,7 +99,17 @@
 		{Target: "a", Age: 20 * time.Millisecond, Report: placer.Report{Slots: 9, Slowness: 4.5}},
 		{Target: "b", Report: placer.Report{Slots: 18, FailureShare: 0.5, Running: 3}},
 	}
-	assert.Equal(t, all, decodeWarnings(encodeWarnings(all, "")))
-	assert.Equal(t, all[1:], decodeWarnings(encodeWarnings(all, "a")))
-	assert.Empty(t, decodeWarnings("a 1;; b x 1 2 3;c -1 "+encodeLoad(&placer.Report{})))
+	decode := func(text string) (found []placer.Warning) {
+		for part := range strings.SplitSeq(text, ";") {
+			target, rest, _ := strings.Cut(part, " ")
+			if wa, ok := decodeWarning(target, rest); ok {
+				found = append(found, wa)
+			}
+		}
+		return found
+	}
+	assert.Equal(t, all, decode(string(appendWarnings(nil, all, ""))))
+	assert.Equal(t, all[1:], decode(string(appendWarnings(nil, all, "a"))))
+	assert.Empty(t, decode("a 1;; b x 1 2 3;c -1 "+encodeLoad(&placer.Report{})))
+	assert.Empty(t, decode("a p120 130 5"), "nodes without paces skip them")
 }
--- a/internal/carrier/gate.go
+++ b/internal/carrier/gate.go
@@ -72,6 +72,8 @@
 	// measures how much slower it is than other targets.
 	runs     map[string]*run
 	slowness *admitter.SlownessMeter
+	// paces averages the paces that the target announces.
+	paces admitter.PaceMeter
 }
 
 // NewGate returns a gate for the target at the given address.
@@ -343,7 +345,7 @@
 	return &placer.Report{
 		Running: ga.queue.Running(), Slots: ga.queue.Slots(), Work: ga.queue.Work(),
 		Waits: ga.queue.Waits(now), FailureShare: ga.errorRate,
-		Slowness: ga.slowness.Slowness(now),
+		Slowness: ga.slowness.Slowness(now), Pace: ga.paces.Pace(),
 	}
 }
 
--- a/internal/carrier/incarnation.go
+++ b/internal/carrier/incarnation.go
@@ -63,6 +63,7 @@
 func (ga *Gate) resetTarget() {
 	ga.collector = stager.NewCollector()
 	ga.slowness = new(admitter.SlownessMeter)
+	ga.paces = admitter.PaceMeter{}
 	ga.faultDetected = false
 	ga.errorRate = 0
 	ga.queue.ClearCold()
--- a/internal/carrier/last.go
+++ b/internal/carrier/last.go
@@ -9,7 +9,6 @@
 
 	"github.com/guavastall/guavastall/internal/answerer"
 	"github.com/guavastall/guavastall/internal/pacer"
-	"github.com/guavastall/guavastall/internal/placer"
 	"github.com/guavastall/guavastall/internal/retrier"
 	"github.com/guavastall/guavastall/internal/stager"
 )
@@ -49,7 +48,7 @@
 		return
 	}
 	rq.route = vi.Config.Match(hostName(rq.host), rq.path())
-	ca.applyWarnings(r.Header)
+	ca.applyWarnings(r.Header, now)
 	ca.runForNode(w, r, rq)
 }
 
@@ -69,11 +68,6 @@
 	} else {
 		ca.recordLinkRefusal(rq, rs, bytes)
 	}
-	if rq.sameDataCentre {
-		if text := ca.warnings(rq.target); text != "" {
-			w.Header()[headerWarning] = []string{text}
-		}
-	}
 	if large {
 		w.Header()[headerLink] = []string{encodeLink(ca.egress.report())}
 	}
@@ -81,6 +75,9 @@
 		tr = ca.egress.start(rq)
 		defer func() { ca.egress.end(tr) }()
 	}
+	if text := ca.responseWarnings(rq, rs, tr != nil); text != "" {
+		w.Header()[headerWarning] = []string{text}
+	}
 	ca.writeNodeResponse(r.Context(), w, rq.id, rs, tr)
 }
 
@@ -96,21 +93,6 @@
 	})
 }
 
-// warnings returns the loads of degraded targets that another node of the data
-// centre should know of, without the given target. The local target's load is
-// sent along with requests for other targets too, because a slow target's own
-// responses arrive late.
-func (ca *Carrier) warnings(except string) string {
-	now := ca.config.Now()
-	target, own := ca.gate.degradedLoad()
-	ca.mu.Lock()
-	defer ca.mu.Unlock()
-	if own != nil {
-		ca.placer.Warn(placer.Warning{Target: target, Report: *own}, now)
-	}
-	return encodeWarnings(ca.placer.Warnings(now), except)
-}
-
 // runLocal admits the request to the local target and runs it.
 func (ca *Carrier) runLocal(ctx context.Context, rq *request) *result {
 	work := ca.expectedProcessingTime(rq)
@@ -126,6 +108,7 @@
 				"running":  rs.report.Running, "rank": rq.rank(),
 				"expectedMs": rs.report.Waits[rq.rank()].Milliseconds(),
 				"workMs":     work.Milliseconds(), "retryMs": rs.retryAfter.Milliseconds(),
+				"pace": rs.report.Pace.Latest, "averagePace": rs.report.Pace.Average,
 			}
 		})
 		return rs
@@ -135,7 +118,7 @@
 	rs.report = ca.gate.load()
 	rs.report.Calls = max(ca.expectedCalls(rq.routeName()), 0)
 	if rs.outcome == retrier.Answered {
-		rs.report.Took = ca.config.Now().Sub(started)
+		rs.report.Took, rs.report.RunPace = ca.config.Now().Sub(started), rs.pace
 	}
 	return rs
 }
@@ -153,6 +136,7 @@
 		ca.gate.release(ad, 0)
 		return refusal(answerer.DeadlineExceeded, "no time left at the target", 0)
 	}
+	startPace := ca.gate.pace().Pace
 	ru := ca.gate.beginRun(rq, ca.observedProcessingTime(rq.routeName()))
 	re, sent, err := ca.gate.pool.send(ctx, &exchange{
 		id: rq.id, idHeader: na.RequestID, method: rq.method, uri: rq.uri, host: rq.host,
@@ -164,6 +148,7 @@
 	}, ca.config.Now)
 	took := ca.config.Now().Sub(began)
 	rs := ca.classify(ctx, re, sent, err)
+	rs.pace = ca.recordPace(rs, re, ad, &startPace)
 	calls := ca.gate.endRun(rq, ru, rs.outcome == retrier.Answered && !rs.failed())
 	worked := took
 	if rs.outcome != retrier.Answered {
@@ -252,7 +237,7 @@
 		})
 	} else {
 		ca.metrics.targetLatency.Update(took.Microseconds())
-		ca.recordProcessingTime(re.Route, took)
+		ca.recordProcessingTime(re.Route, took, rs.pace)
 		ca.recordBytes(re.Route, len(rs.response.body))
 		if rs.failed() {
 			ca.logEvent(true, "target failed", rq, func() map[string]any {
--- a/internal/carrier/remote.go
+++ b/internal/carrier/remote.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -22,7 +21,7 @@
 		{headerHop, rq.encodeHop(ta.ID, now)},
 	}
 	if rq.sameDataCentre {
-		if text := di.warnings(ta.ID); text != "" {
+		if text := di.requestWarnings(ta.ID); text != "" {
 			extra = append(extra, [2]string{headerWarning, text})
 		}
 	}
@@ -51,23 +50,12 @@
 		}
 		return rs
 	}
-	di.applyWarnings(re.header)
-	return decodeNodeResponse(re)
-}
-
-// applyWarnings applies the loads of degraded targets that another node reported.
-func (ca *Carrier) applyWarnings(header http.Header) {
-	text := header.Get(headerWarning)
-	if text == "" {
-		return
-	}
-	delete(header, headerWarning)
-	now := ca.config.Now()
-	ca.mu.Lock()
-	defer ca.mu.Unlock()
-	for _, wa := range decodeWarnings(text) {
-		ca.placer.Warn(wa, now)
+	own, runPace := di.applyWarnings(re.header, di.config.Now())
+	rs := decodeNodeResponse(re)
+	if rs.report != nil {
+		rs.report.Pace, rs.report.RunPace = own, runPace
 	}
+	return rs
 }
 
 // decodeNodeResponse converts the response of another node to a result.
--- a/internal/carrier/request.go
+++ b/internal/carrier/request.go
@@ -19,8 +19,9 @@
 	headerHop = "Gs-Hop"
 	// headerLoad holds the target's load in a response between nodes.
 	headerLoad = "Gs-Load"
-	// headerWarning holds the loads of degraded targets, in requests and
-	// responses between nodes of the same data centre.
+	// headerWarning holds the loads of degraded targets and the newest paces, in
+	// requests and responses between nodes of the same data centre, and the pace of
+	// the target that responds.
 	headerWarning = "Gs-Warning"
 	// headerRefused marks a refusal between nodes. It holds the kind, the
 	// milliseconds until the target is expected to accept requests, and a flag if
@@ -74,6 +75,9 @@
 	acceptLate bool
 	// target is the incarnation that a request from another node is intended for.
 	target string
+	// targetPace is the expected pace of the target that the request is sent to; zero
+	// if it is unknown.
+	targetPace float64
 	// lease holds the memory of the request's body and of all responses to it.
 	lease *lease
 	// sameDataCentre is true if both nodes of the request are in the same data
--- a/internal/meshrunner/meshrunner.go
+++ b/internal/meshrunner/meshrunner.go
@@ -63,6 +63,8 @@
 	Operator     replicator.Source
 	Mesh, Status Topic
 	Names        carrier.Names
+	// Pace decodes the pace in a target's load header.
+	Pace func(string) (float64, bool)
 	// Control and Ready return the handlers of the platform's interfaces.
 	Control, Ready func(*Runner) http.Handler
 	// Reload reads the settings again.
@@ -150,7 +152,7 @@
 	ru.peers = &peers{runner: ru, lastHello: map[netip.AddrPort]time.Time{}}
 	ru.gate = carrier.NewGate(se.Target, pa.Now)
 	ru.carrier = carrier.New(carrier.Config{
-		Self: se.Nodes, DataCentre: se.DataCentre, Names: pa.Names,
+		Self: se.Nodes, DataCentre: se.DataCentre, Names: pa.Names, Pace: pa.Pace,
 		Budget: se.Budget, LinkRate: se.LinkRate, Memory: se.Memory, Now: pa.Now,
 		Caller: func() string { return ru.settings.Load().Service },
 	}, ru.gate, pa.Events, pa.Metrics)
--- /dev/null
+++ b/internal/placer/pace.go
@@ -0,0 +1,122 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/guavastall/guavastall/internal/admitter"
+)
+
+const (
+	// MaxPaces bounds the number of paces that [Placer.Paces] returns.
+	MaxPaces = 8
+	// maxSharedPaceAge is the age up to which a pace is passed on. An older one says
+	// little about the present, and the average is passed on with every newer one.
+	maxSharedPaceAge = time.Second
+	// maxWaitScale bounds the factor by which a newer pace changes a reported wait.
+	maxWaitScale = 4.0
+)
+
+// TargetPace is the announced pace of a target.
+type TargetPace struct {
+	Target string
+	Pace   admitter.Pace
+}
+
+// SetPace stores the pace of a target of the own data centre, unless a newer one is
+// known.
+func (pl *Placer) SetPace(tp TargetPace) {
+	lo := pl.load(tp.Target)
+	lo.local = true
+	lo.setPace(&tp.Pace)
+}
+
+func (lo *load) setPace(pa *admitter.Pace) {
+	if pa.Latest > 0 && pa.At.After(lo.pace.At) {
+		lo.pace = *pa
+	}
+}
+
+// Paces appends the newest paces of targets of the own data centre to all, without the
+// one of the target except, until there are MaxPaces. A node sends each target only one
+// or two requests per second, so that without the other nodes it would learn of most
+// disturbances after they have ended.
+func (pl *Placer) Paces(all []TargetPace, except string, now time.Time) []TargetPace {
+	sorted := len(all)
+	for id, lo := range pl.loads {
+		if !lo.local || id == except || lo.pace.Latest <= 0 ||
+			now.Sub(lo.pace.At) > maxSharedPaceAge || sorted > 0 && id == all[0].Target {
+			continue
+		}
+		nn := len(all)
+		for nn > sorted && lo.pace.At.After(all[nn-1].Pace.At) {
+			nn--
+		}
+		if nn >= MaxPaces {
+			continue
+		}
+		if len(all) < MaxPaces {
+			all = append(all, TargetPace{})
+		}
+		copy(all[nn+1:], all[nn:])
+		all[nn] = TargetPace{Target: id, Pace: lo.pace}
+	}
+	return all
+}
+
+// PacedWork returns the expected time of the route's requests at a target of the given
+// pace. It returns false if the pace or the time at the usual pace is unknown.
+func (pl *Placer) PacedWork(
+	route string, pa *admitter.Pace, now time.Time,
+) (time.Duration, bool) {
+	usual, ok := pl.usualTimes[route]
+	if !ok || !pa.Known(now) {
+		return 0, false
+	}
+	return pa.Scale(usual, now), true
+}
+
+// addPacedSample updates the average time of the route at the usual pace with the time
+// of a request that ran at the given pace.
+func (pl *Placer) addPacedSample(route string, took time.Duration, pace float64) {
+	sample := time.Duration(float64(took) / pace)
+	usual, ok := pl.usualTimes[route]
+	if !ok {
+		usual = sample
+	}
+	pl.usualTimes[route] = usual + time.Duration(smoothing*float64(sample-usual))
+}
+
+// expectedWork returns the expected time of the route's requests at the target, and the
+// pace that it is based on; zero if the pace is unknown.
+func (pl *Placer) expectedWork(lo *load, route string, now time.Time) (time.Duration, float64) {
+	work, ok := pl.PacedWork(route, &lo.pace, now)
+	if !ok {
+		return time.Duration(lo.slowdown(now) * float64(pl.Work(route))), 0
+	}
+	pace := float64(work) / float64(max(pl.usualTimes[route], 1))
+	// A target that is much slower than it announces is faulty.
+	if lo.reported && lo.report.IsSlow() {
+		weight := ageWeight(now.Sub(lo.reportedAt), staleSlownessAge)
+		work = time.Duration((1 + weight*(lo.report.Slowness-1)) * float64(work))
+	}
+	return work, pace
+}
+
+// waitScale returns the factor by which the pace has changed the reported wait since
+// the report.
+func (lo *load) waitScale(now time.Time) float64 {
+	reported := &lo.report.Pace
+	if reported.Latest <= 0 || !lo.pace.At.After(reported.At) || !lo.pace.Known(now) {
+		return 1
+	}
+	scale := lo.pace.Expected(0, now) / reported.Expected(0, lo.reportedAt)
+	return min(max(scale, 1/maxWaitScale), maxWaitScale)
+}
+
+// TransferTime returns the time until another response of the given size has left.
+func (li Link) TransferTime(bytes int) time.Duration {
+	if li.BytesPerSecond <= 0 {
+		return 0
+	}
+	return li.Wait + time.Duration(float64(bytes)/li.BytesPerSecond*float64(time.Second))
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -92,6 +92,10 @@
 	// Link is the state of the target VM's link, or nil if the response does not
 	// tell.
 	Link *Link
+	// Pace is the pace that the target announced, and RunPace the pace during the
+	// request whose response carries this report; zero if unknown.
+	Pace    admitter.Pace
+	RunPace float64
 }
 
 // Link is the state of the link over which a target's responses leave its VM.
@@ -125,6 +129,8 @@
 	Wait time.Duration
 	// Age is the age of the report that Wait is based on; negative if there is none.
 	Age time.Duration
+	// Pace is the expected pace of the target; zero if it is unknown.
+	Pace float64
 }
 
 // load is the load of a target as known to this node.
@@ -145,6 +151,10 @@
 	// slowness is the ratio of the target's response time to the average of the
 	// route; zero if unknown.
 	slowness float64
+	// pace is the pace that the target announced, and local is true if the target is
+	// in this node's data centre.
+	pace  admitter.Pace
+	local bool
 }
 
 // nodeBackoff is the state of an unreachable node.
@@ -160,6 +170,8 @@
 	nodes  map[netip.AddrPort]*nodeBackoff
 	// routes holds the average time at the target by route.
 	routes map[string]time.Duration
+	// usualTimes holds the average time at a target of the usual pace by route.
+	usualTimes map[string]time.Duration
 	// slowTargets holds the IDs of the targets for which [Report.IsSlow] was true of
 	// the last report.
 	slowTargets map[string]bool
@@ -170,6 +182,7 @@
 	return &Placer{
 		random: random, loads: map[string]*load{}, nodes: map[netip.AddrPort]*nodeBackoff{},
 		routes: map[string]time.Duration{}, slowTargets: map[string]bool{},
+		usualTimes: map[string]time.Duration{},
 	}
 }
 
@@ -229,12 +242,13 @@
 ) (time.Duration, Choice) {
 	work := pl.Work(re.Route)
 	wait, used, failures, transfer := time.Duration(0), 0.0, 0.0, time.Duration(0)
-	age := time.Duration(-1)
+	age, pace := time.Duration(-1), 0.0
 	if lo := pl.loads[ta.ID]; lo != nil {
 		if lo.reported {
 			age = now.Sub(lo.reportedAt)
 		}
-		work = time.Duration(lo.slowdown(now) * float64(work))
+		lo.local = ta.DataCentre == re.DataCentre
+		work, pace = pl.expectedWork(lo, re.Route, now)
 		wait, used = lo.expectedWait(ta.Slots, re.Rank, now)
 		if rest := lo.avoidUntil[re.Rank].Sub(now); rest > wait {
 			wait = rest
@@ -259,7 +273,7 @@
 		float64(expected) <= localFraction*float64(objective) {
 		cost -= localPreference
 	}
-	return cost, Choice{Target: *ta, Wait: wait, Age: age}
+	return cost, Choice{Target: *ta, Wait: wait, Age: age, Pace: pace}
 }
 
 // Work returns the average time of the route's requests at their targets, or a
@@ -291,89 +305,6 @@
 	pl.routes[route] = work + time.Duration(smoothing*float64(took-work))
 }
 
-// expectedWait returns the expected wait for a slot and the fraction of the slots
-// in use.
-func (lo *load) expectedWait(
-	slots int, rank admitter.Rank, now time.Time,
-) (time.Duration, float64) {
-	if slots < 1 {
-		slots = 1
-	}
-	busy := float64(lo.outstanding)
-	work, wait := defaultWork, time.Duration(0)
-	if lo.reported {
-		weight := lo.reportWeight(now)
-		busy = max(busy, weight*float64(lo.report.Running+lo.sinceReport))
-		work = lo.report.Work
-		wait = time.Duration(weight*float64(lo.report.Waits[rank])) - now.Sub(lo.reportedAt)
-	}
-	wait = max(wait, 0)
-	if over := busy - float64(slots); over > 0 {
-		wait += time.Duration(over * float64(work) / float64(slots))
-	}
-	return wait, min(busy/float64(slots), 1)
-}
-
-// transferTime returns the time that the response takes over the link of the
-// target's VM after the given time of processing, including the part of the link's
-// backlog that is then left.
-func (lo *load) transferTime(
-	bytes float64, processing time.Duration, now time.Time,
-) time.Duration {
-	if bytes <= 0 || lo.link.BytesPerSecond <= 0 {
-		return 0
-	}
-	age := now.Sub(lo.linkAt)
-	wait := time.Duration(ageWeight(age, staleAge)*float64(lo.link.Wait)) - age
-	wait = max(wait, 0) + lo.sendTime(lo.linkBytes)
-	return max(wait-processing, 0) + lo.sendTime(bytes)
-}
-
-func (lo *load) sendTime(bytes float64) time.Duration {
-	return time.Duration(bytes / lo.link.BytesPerSecond * float64(time.Second))
-}
-
-// failureShare returns the reported share of failed requests, weighted by the age
-// of the report.
-func (lo *load) failureShare(now time.Time) float64 {
-	if !lo.reported {
-		return 0
-	}
-	return lo.report.FailureShare * lo.reportWeight(now)
-}
-
-// slowdown returns the expected ratio of the target's response time to that of
-// others: the reported ratio of a slow target, and otherwise the ratio that this
-// node observed.
-func (lo *load) slowdown(now time.Time) float64 {
-	observed := lo.slowness
-	if observed == 0 {
-		observed = 1
-	}
-	if !lo.reported || !lo.report.IsSlow() {
-		return observed
-	}
-	weight := ageWeight(now.Sub(lo.reportedAt), staleSlownessAge)
-	return weight*lo.report.Slowness + (1-weight)*observed
-}
-
-// reportWeight returns the weight of the last report.
-func (lo *load) reportWeight(now time.Time) float64 {
-	return ageWeight(now.Sub(lo.reportedAt), staleAge)
-}
-
-// ageWeight returns the weight of a report of the given age: 1 up to freshAge,
-// falling linearly to 0 at zeroAge.
-func ageWeight(age, zeroAge time.Duration) float64 {
-	switch {
-	case age <= freshAge:
-		return 1
-	case age >= zeroAge:
-		return 0
-	}
-	return 1 - float64(age-freshAge)/float64(zeroAge-freshAge)
-}
-
 // load returns the entry of the target and creates it if necessary.
 func (pl *Placer) load(id string) *load {
 	lo := pl.loads[id]
@@ -403,10 +334,14 @@
 		if re.Link != nil {
 			lo.link, lo.linkAt, lo.linkBytes = *re.Link, now, 0
 		}
+		lo.setPace(&re.Pace)
 		pl.updateSlow(id, re)
 		lo.avoidUntil = [admitter.Ranks]time.Time{}
 		if re.Took > 0 {
 			pl.addSample(lo, route, re.Took)
+			if re.RunPace > 0 {
+				pl.addPacedSample(route, re.Took, re.RunPace)
+			}
 		}
 	} else if lo.sinceReport > 0 {
 		lo.sinceReport--
@@ -475,7 +410,7 @@
 
 // KeepRoutes removes the averages of all routes except the given ones.
 func (pl *Placer) KeepRoutes(routes map[string]bool) {
-	maps.DeleteFunc(pl.routes, func(route string, _ time.Duration) bool {
-		return !routes[route]
-	})
+	unknown := func(route string, _ time.Duration) bool { return !routes[route] }
+	maps.DeleteFunc(pl.routes, unknown)
+	maps.DeleteFunc(pl.usualTimes, unknown)
 }
