carrier: start a second attempt while the first is late

A few requests in 100 take several times as long as usual, and targets hang, are cut off or become slow. Their requests were late although another target could have responded within the objective.

The first node now hedges an idempotent request of a route with two or more attempts. retrier.HedgeLate decides, from the elapsed time, the route's recent response times (retrier.Times), the time left to the objective and the deadline, a free slot at the target that the placer would choose, and the budget. Hedges use at most half of what other retries may use. Both attempts run on copies of the request, and only the goroutine of the dispatch records their results. The loser is cancelled and waited for before the client gets the response.

An attempt that is cancelled while it connects is reported as cancelled; it no longer counts against the target.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -28,6 +28,9 @@
 	// lastAttemptReserve is the fraction of the usable budget that is reserved for
 	// requests whose client does not retry; the others get another attempt anyway.
 	lastAttemptReserve = 0.5
+	// hedgeShare is the fraction of what other retries of the same kind may use at
+	// which hedges stop. The rest is left for retries of failures.
+	hedgeShare = 0.5
 	// defaultCalls is the expected number of calls of a request while it is unknown.
 	defaultCalls = 2.0
 )
@@ -41,6 +44,8 @@
 	Calls float64
 	// LastAttempt reports whether the request is not retried by its client either.
 	LastAttempt bool
+	// Hedge reports whether the first attempt is still running.
+	Hedge bool
 }
 
 // bucket counts the first attempts and the retries in one part of the window.
@@ -87,6 +92,11 @@
 	if calls < 0 {
 		calls = defaultCalls
 	}
+	// A node with few requests may make one hedge within a window where it could
+	// retry a failure; its share of the budget is often less than two retries.
+	if re.Hedge && retries > 0 {
+		usable *= hedgeShare
+	}
 	if retries+1+calls > usable {
 		return false
 	}
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -179,3 +179,19 @@
 		assert.LessOrEqual(t, rp, cf.Ratio*rq+cf.Allowance, "window at tick %d", from)
 	}
 }
+
+// Guards against hedges that use what is left for retries of failures, and against
+// nodes with few requests that may never hedge.
+func TestHedgesLeaveBudget(t *testing.T) {
+	count := func(bu *Budget, re Retry) (taken int) {
+		for bu.Take(re, epoch) {
+			taken++
+		}
+		return taken
+	}
+	bu := New(Config{Allowance: 100, Window: 10 * time.Second})
+	assert.InDelta(t, hedgeShare*27.5, count(bu, Retry{Nodes: 1, Hedge: true}), 1)
+	assert.InDelta(t, (1-hedgeShare)*27.5, count(bu, Retry{Nodes: 1}), 1)
+	bu = New(Config{Allowance: 10, Window: 10 * time.Second})
+	assert.Equal(t, 1, count(bu, Retry{Nodes: 1, Calls: 1.4, Hedge: true}))
+}
--- a/internal/carrier/average.go
+++ b/internal/carrier/average.go
@@ -22,6 +22,7 @@
 	retainKeys(ca.processingTimes, names)
 	retainKeys(ca.callsPerRun, names)
 	retainKeys(ca.responseBytes, names)
+	retainKeys(ca.hedging, names)
 }
 
 func retainKeys[T any](averages map[string]T, routes map[string]bool) {
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -121,7 +121,7 @@
 	gate    *Gate
 	view    atomic.Pointer[View]
 
-	// mu guards the fields from placer to responseBytes. It is held only for
+	// mu guards the fields from placer to hedging. It is held only for
 	// computations, and never together with the gate's lock.
 	mu              sync.Mutex
 	placer          *placer.Placer
@@ -134,6 +134,8 @@
 	callsPerRun map[string]float64
 	// responseBytes is the average size of a response of a route.
 	responseBytes map[string]float64
+	// hedging holds what the node observed of the routes that allow hedges.
+	hedging map[string]*hedging
 
 	egress *egress
 	bodies *bodyMemory
@@ -159,6 +161,7 @@
 		processingTimes: map[string]time.Duration{},
 		callsPerRun:     map[string]float64{},
 		responseBytes:   map[string]float64{},
+		hedging:         map[string]*hedging{},
 		egress:          newEgress(pacer.New(cf.LinkRate), cf.Now),
 		bodies:          newBodyMemory(cf.Memory),
 		pools:           map[netip.AddrPort]*pool{},
@@ -284,6 +287,9 @@
 	// nodeFailed is true if the target's node could not be reached or the
 	// connection to it broke.
 	nodeFailed bool
+	// overtaken is true if the attempt was late and was cancelled because a second
+	// one had responded.
+	overtaken bool
 }
 
 func refusal(ki answerer.Kind, detail string, retryAfter time.Duration) *result {
@@ -296,3 +302,25 @@
 func (rs *result) failed() bool {
 	return rs.response != nil && rs.response.status >= 500
 }
+
+// stronger returns the result of two failed attempts that is kept for the client: a
+// target's response, else one that may have run, else the later refusal.
+func stronger(earlier, later *result) *result {
+	if earlier == nil || later.evidence() >= earlier.evidence() {
+		return later
+	}
+	return earlier
+}
+
+// evidence ranks results by what they tell of the request.
+func (rs *result) evidence() int {
+	switch {
+	case rs.response != nil:
+		return 3
+	case rs.outcome != retrier.NotRun:
+		return 2
+	case rs.reached:
+		return 1
+	}
+	return 0
+}
--- a/internal/carrier/events.go
+++ b/internal/carrier/events.go
@@ -18,6 +18,9 @@
 // instruments are the counters and histograms of a carrier.
 type instruments struct {
 	served, refused, unknown, failed, refusedLocally, refusedLink metrics.Counter
+	// hedged counts the second attempts of requests whose first was late, and
+	// hedgeWon those that responded first.
+	hedged, hedgeWon metrics.Counter
 	// latency is the time from arrival to response, and targetLatency the part of
 	// it spent at the target, both in microseconds.
 	latency, targetLatency metrics.Histogram
@@ -35,6 +38,7 @@
 		served: counter("requests.served"), refused: counter("requests.refused"),
 		unknown: counter("requests.unknown"), failed: counter("requests.failed"),
 		refusedLocally: counter("gate.refused"), refusedLink: counter("link.refused"),
+		hedged: counter("requests.hedged"), hedgeWon: counter("requests.hedgeWon"),
 		latency:       histogram("requests.latencyMicros"),
 		targetLatency: histogram("target.latencyMicros"),
 	}
--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -202,11 +202,15 @@
 		if rs != nil {
 			return di.finalResult(rs)
 		}
-		rs = di.attempt(ctx, ch)
+		if delay, ok := di.hedgeDelay(now); ok {
+			rs = di.race(ctx, ch, delay)
+		} else {
+			rs = di.attempt(ctx, ch)
+		}
 		if di.isFinal(ctx, rs) {
 			return di.finalResult(rs)
 		}
-		di.lastResult = rs
+		di.lastResult = stronger(di.lastResult, rs)
 		if vi := di.Carrier.view.Load(); vi != nil {
 			di.view = vi
 		}
@@ -284,11 +288,7 @@
 		di.acceptLate()
 	}
 	di.mu.Lock()
-	ch, ok := di.placer.Pick(targets, placer.Request{
-		DataCentre: di.config.DataCentre, Self: di.config.Self, Route: di.rq.route.Name,
-		Objective: di.rq.objective.Sub(now), Tried: di.tried, Rank: di.rq.rank(),
-		Bytes: di.responseBytes[di.rq.route.Name],
-	}, now)
+	ch, ok := di.placer.Pick(targets, di.forPlacer(now), now)
 	di.mu.Unlock()
 	if !ok {
 		if len(di.tried) > 0 {
@@ -302,6 +302,16 @@
 	return ch, nil
 }
 
+// forPlacer returns the properties of the request that the placer needs. The caller
+// must hold ca.mu.
+func (di *dispatch) forPlacer(now time.Time) placer.Request {
+	return placer.Request{
+		DataCentre: di.config.DataCentre, Self: di.config.Self, Route: di.rq.route.Name,
+		Objective: di.rq.objective.Sub(now), Tried: di.tried, Rank: di.rq.rank(),
+		Bytes: di.responseBytes[di.rq.route.Name],
+	}
+}
+
 // acceptLate makes one more placement possible at a target whose link had no room
 // for a response in time. A late response is worth more than another request of
 // the client, which would be late as well.
@@ -368,30 +378,6 @@
 	return false
 }
 
-// attempt sends the request to the target's node, or to the local target.
-func (di *dispatch) attempt(ctx context.Context, ch placer.Choice) *result {
-	di.tried = append(di.tried, ch.Target.ID)
-	di.rq.target = ch.Target.ID
-	di.rq.sameDataCentre = ch.Target.DataCentre == di.config.DataCentre
-	di.mu.Lock()
-	di.placer.Begin(ch.Target.ID, di.responseBytes[di.rq.route.Name])
-	di.mu.Unlock()
-	var rs *result
-	if ch.Target.Node == di.config.Self {
-		rs = di.runLocal(ctx, di.rq)
-	} else {
-		rs = di.runRemote(ctx, ch.Target)
-	}
-	di.recordAttempt(ch.Target, rs)
-	if rs.report != nil && rs.reached && ch.Target.Node != di.config.Self {
-		di.recordCalls(di.rq.route.Name, rs.report.Calls)
-	}
-	if rs.response != nil && ch.Target.Node != di.config.Self {
-		di.recordBytes(di.rq.route.Name, len(rs.response.body))
-	}
-	return rs
-}
-
 // recordAttempt records what an attempt showed about the target and its node.
 func (di *dispatch) recordAttempt(ta placer.Target, rs *result) {
 	now := di.config.Now()
--- a/internal/carrier/last.go
+++ b/internal/carrier/last.go
@@ -181,6 +181,8 @@
 func (ca *Carrier) classify(ctx context.Context, re *response, sent bool, err error) *result {
 	na := &ca.config.Names
 	switch {
+	case err != nil && !sent && ctx.Err() != nil:
+		return refusal(answerer.Cancelled, err.Error(), 0)
 	case err != nil && !sent:
 		if errors.Is(err, errDial) {
 			ca.gate.MarkUnverified()
--- a/internal/carrier/memory.go
+++ b/internal/carrier/memory.go
@@ -43,7 +43,7 @@
 }
 
 // lease is the memory that the bodies of one request hold. It is not safe for
-// concurrent use.
+// concurrent use; each attempt that runs beside another has a lease of its own.
 type lease struct {
 	memory *bodyMemory
 	held   int64
@@ -68,6 +68,12 @@
 	le.held = 0
 }
 
+// join moves the memory of another lease, which is no longer used, into this one.
+func (le *lease) join(other *lease) {
+	le.held += other.held
+	other.held = 0
+}
+
 // boundedReader reads a body of unknown length into leased memory.
 type boundedReader struct {
 	io.Reader
--- a/internal/carrier/remote.go
+++ b/internal/carrier/remote.go
@@ -13,28 +13,30 @@
 )
 
 // runRemote sends the request to the target's node.
-func (di *dispatch) runRemote(ctx context.Context, ta placer.Target) *result {
-	na := &di.config.Names
-	rq := di.rq
-	now := di.config.Now()
+func (ca *Carrier) runRemote(ctx context.Context, rq *request, ta placer.Target) *result {
+	na := &ca.config.Names
+	now := ca.config.Now()
 	extra := [][2]string{
 		{na.Timeout, milliseconds(rq.deadline.Sub(now))}, {na.Caller, rq.caller},
 		{headerHop, rq.encodeHop(ta.ID, now)},
 	}
 	if rq.sameDataCentre {
-		if text := di.warnings(ta.ID); text != "" {
+		if text := ca.warnings(ta.ID); text != "" {
 			extra = append(extra, [2]string{headerWarning, text})
 		}
 	}
-	re, sent, err := di.pool(ta.Node).send(ctx, &exchange{
+	re, sent, err := ca.pool(ta.Node).send(ctx, &exchange{
 		id: rq.id, idHeader: na.RequestID, method: rq.method, uri: rq.uri, host: rq.host,
 		header: rq.header, body: rq.body, deadline: rq.deadline.Add(2 * responseSlack),
 		extra: extra, lease: rq.lease,
-	}, di.config.Now)
+	}, ca.config.Now)
 	switch {
 	case err != nil && !sent:
+		if ctx.Err() != nil {
+			return refusal(answerer.Cancelled, err.Error(), 0)
+		}
 		rs := refusal(answerer.NoTarget, err.Error(), 0)
-		rs.nodeFailed = ctx.Err() == nil
+		rs.nodeFailed = true
 		return rs
 	case err != nil:
 		rs := &result{
@@ -44,14 +46,14 @@
 		switch {
 		case ctx.Err() != nil:
 			rs.kind = answerer.Cancelled
-		case isTimeout(err) && !di.config.Now().Before(rq.deadline):
+		case isTimeout(err) && !ca.config.Now().Before(rq.deadline):
 			rs.kind = answerer.DeadlineExceeded
 		default:
 			rs.nodeFailed = true
 		}
 		return rs
 	}
-	di.applyWarnings(re.header)
+	ca.applyWarnings(re.header)
 	return decodeNodeResponse(re)
 }
 
--- a/internal/retrier/next.go
+++ b/internal/retrier/next.go
@@ -93,11 +93,10 @@
 // is not late yet, Delay of the decision is the time after which to call Hedge again.
 func Hedge(at Attempt, bu *Budget, now time.Time) Decision {
 	late := hedgeFactor * at.Expected
+	reason := checkHedgeRules(at.HedgeAllowed && at.Idempotent, at.Number, at.MaxAttempts)
 	switch {
-	case !at.HedgeAllowed || !at.Idempotent:
-		return Decision{Reason: NotIdempotent}
-	case at.Number >= at.MaxAttempts:
-		return Decision{Reason: NoAttemptLeft}
+	case reason != Allowed:
+		return Decision{Reason: reason}
 	case at.Expected <= 0:
 		return Decision{Reason: TooEarly}
 	case !fitsDeadline(at, max(0, late-at.Elapsed), now):
@@ -109,3 +108,15 @@
 	}
 	return Decision{Again: true}
 }
+
+// checkHedgeRules applies the rules for hedges that depend neither on the time nor on
+// the budget.
+func checkHedgeRules(allowed bool, number, maxAttempts int) Reason {
+	switch {
+	case !allowed:
+		return NotIdempotent
+	case number >= maxAttempts:
+		return NoAttemptLeft
+	}
+	return Allowed
+}
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -5,6 +5,11 @@
 // Retries are limited by the deadline, the number of attempts and a [Budget]. A node
 // marks a failure that it decided not to retry, and nodes closer to the caller do not
 // retry a marked failure either.
+//
+// Where a few requests take several times as long as usual (tail latency), or a target
+// hangs or has become slow, a second attempt is started while the first is running.
+// [Hedge] decides by the expected time alone, [HedgeLate] by the distribution of a
+// route's response times and by the time left to its objective.
 package retrier
 
 import (
@@ -130,9 +135,21 @@
 	Permanent
 	// TooEarly means that the attempt is not late enough to be hedged.
 	TooEarly
+	// NoCapacity means that no other target would start the attempt at once.
+	NoCapacity
 )
 
-// Decision is the result of [Next] or [Hedge].
+// String returns the name of the reason as used in logs.
+func (re Reason) String() string {
+	return [...]string{
+		Allowed: "allowed", Finished: "finished", NotIdempotent: "notIdempotent",
+		AlreadyDecided: "alreadyDecided", NoAttemptLeft: "noAttemptLeft",
+		NoTimeLeft: "noTimeLeft", BudgetEmpty: "budgetEmpty", Permanent: "permanent",
+		TooEarly: "tooEarly", NoCapacity: "noCapacity",
+	}[re]
+}
+
+// Decision is the result of [Next], [Hedge] or [HedgeLate].
 type Decision struct {
 	// Again reports whether another attempt is made.
 	Again bool
