--- a/internal/carrier/hedge.go
+++ b/internal/carrier/hedge.go
@@ -87,7 +87,6 @@
 	target placer.Target
 	began  time.Time
 	cancel context.CancelFunc
-	hedge  bool
 	// result is set before the attempt is sent to the race.
 	result *result
 }
@@ -96,7 +95,7 @@
 // the goroutine of the dispatch uses the race and the dispatch.
 type race struct {
 	*dispatch
-	// ended receives each attempt once. It has room for both.
+	// ended receives each attempt once. It has room for both, so that none blocks.
 	ended   chan *concurrent
 	running []*concurrent
 	began   time.Time
@@ -138,8 +137,8 @@
 // start starts an attempt at the target.
 func (ra *race) start(ctx context.Context, ta placer.Target, hedge bool) {
 	ctx, cancel := context.WithCancel(ctx)
-	co := &concurrent{rq: *ra.rq, target: ta, cancel: cancel, hedge: hedge}
-	co.rq.lease = &lease{memory: ra.bodies}
+	co := &concurrent{rq: *ra.rq, target: ta, cancel: cancel}
+	co.rq.hedge, co.rq.lease = hedge, &lease{memory: ra.bodies}
 	co.began = ra.beginAttempt(&co.rq, ta)
 	ra.rq.target = ta.ID
 	ra.running = append(ra.running, co)
@@ -168,7 +167,7 @@
 // win cancels the other attempt and waits for its end, which follows at once.
 func (ra *race) win(winner *concurrent) {
 	ra.rq.target = winner.rq.target
-	if winner.hedge {
+	if winner.rq.hedge {
 		ra.metrics.hedgeWon.Inc(1)
 	}
 	for _, co := range ra.running {
@@ -176,7 +175,7 @@
 	}
 	for len(ra.running) > 0 {
 		co := <-ra.ended
-		co.result.overtaken = !co.hedge && co.result.outcome == retrier.Unknown
+		co.result.overtaken = !co.rq.hedge && co.result.outcome == retrier.Unknown
 		ra.end(co)
 	}
 }
@@ -235,7 +234,7 @@
 		return
 	}
 	ra.reason = de.Reason
-	ra.logEvent(true, "hedge", ra.rq, func() map[string]any {
+	ra.logEvent(de.Again, "hedge", ra.rq, func() map[string]any {
 		return map[string]any{
 			"allowed": de.Again, "reason": de.Reason.String(), "service": ra.part.Service,
 			"target": ra.rq.target, "second": ch.Target.ID, "waitMs": ch.Wait.Milliseconds(),
--- a/internal/carrier/hedge_test.go
+++ b/internal/carrier/hedge_test.go
@@ -73,7 +73,7 @@
 		node := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 		dc := string(rune('a' + nn)) // the first one is nearer
 		vi.Targets["desk"] = append(vi.Targets["desk"], Target{Version: "v1", Target: placer.Target{
-			ID: "t" + dc, Node: node, DataCentre: dc, Slots: 2,
+			ID: "t" + dc, Node: node, DataCentre: dc, Slots: 1,
 		}})
 	}
 	rq := requestFor("")
@@ -93,64 +93,52 @@
 // or is not recorded, a refusal of a request that may have run, and a hedge that is
 // not allowed.
 func TestHedge(t *testing.T) {
-	const never = time.Minute
-	slow, quick := fakeNode{delay: never, status: 200}, fakeNode{status: 200}
-	nothing := func(*dispatch) {}
+	const after, none = 110 * time.Millisecond, 0 // after the hedge has begun
+	slow, quick := fakeNode{delay: time.Minute, status: 200}, fakeNode{status: 200}
+	late, refuses := fakeNode{delay: after, status: 200}, fakeNode{delay: after, status: 503, refuses: true}
 	for name, tc := range map[string]struct {
 		first, second fakeNode
 		change        func(*dispatch)
 		outcome       retrier.Outcome
-		status        int
-		// arrivals are the requests at each node, and cancelled the node whose request
-		// is cancelled.
-		arrivals  [2]int
-		cancelled int
+		// status is that of the response, hedges the number of hedges, and cancelled
+		// the number of the node whose request is cancelled.
+		status, hedges, cancelled int
 	}{
-		"hedge wins":    {slow, quick, nothing, retrier.Answered, 200, [2]int{1, 1}, 1},
-		"not late":      {quick, slow, nothing, retrier.Answered, 200, [2]int{1, 0}, 0},
-		"first wins":    {fakeNode{delay: 110 * time.Millisecond, status: 200}, slow, nothing, retrier.Answered, 200, [2]int{1, 1}, 2},
-		"first refuses": {fakeNode{delay: 110 * time.Millisecond, status: 503, refuses: true}, fakeNode{delay: 60 * time.Millisecond, status: 200}, nothing, retrier.Answered, 200, [2]int{1, 1}, 0},
-		"both fail":     {fakeNode{delay: 110 * time.Millisecond}, fakeNode{status: 500}, nothing, retrier.Answered, 500, [2]int{1, 1}, 0},
-		"hedge breaks, first refuses": {
-			fakeNode{delay: 110 * time.Millisecond, status: 503, refuses: true}, fakeNode{}, nothing, retrier.Unknown, 0, [2]int{1, 1}, 0,
-		},
-		"both refuse": {
-			fakeNode{delay: 110 * time.Millisecond, status: 503, refuses: true}, fakeNode{status: 503, refuses: true}, nothing,
-			retrier.NotRun, 0, [2]int{1, 1}, 0,
-		},
-		"not idempotent": {slow, quick, func(di *dispatch) { di.rq.route.Kind = matcher.NonIdempotent }, retrier.Unknown, 0, [2]int{1, 0}, 0},
-		"one attempt":    {slow, quick, func(di *dispatch) { di.rq.route.Attempts = 1 }, retrier.Unknown, 0, [2]int{1, 0}, 0},
-		"a repeat":       {slow, quick, func(di *dispatch) { di.rq.repeat = true }, retrier.Unknown, 0, [2]int{1, 0}, 0},
-		"budget empty":   {slow, quick, func(di *dispatch) { di.config.Budget.Allowance = 1 }, retrier.Unknown, 0, [2]int{1, 0}, 0},
-		"overload":       {slow, quick, func(di *dispatch) { di.hedging["r"].refusedAt = time.Now() }, retrier.Unknown, 0, [2]int{1, 0}, 0},
-		"no free slot": {slow, quick, func(di *dispatch) {
-			di.placer.Begin("tb", 0)
-			di.placer.Begin("tb", 0)
-		}, retrier.Unknown, 0, [2]int{1, 0}, 0},
+		"hedge wins":     {slow, quick, nil, retrier.Answered, 200, 1, 1},
+		"not late":       {quick, slow, nil, retrier.Answered, 200, 0, none},
+		"first wins":     {late, slow, nil, retrier.Answered, 200, 1, 2},
+		"first refuses":  {refuses, fakeNode{delay: after / 2, status: 200}, nil, retrier.Answered, 200, 1, none},
+		"both fail":      {fakeNode{delay: after}, fakeNode{status: 500}, nil, retrier.Answered, 500, 1, none},
+		"hedge breaks":   {refuses, fakeNode{}, nil, retrier.Unknown, none, 1, none},
+		"both refuse":    {refuses, refuses, nil, retrier.NotRun, none, 1, none},
+		"not idempotent": {slow, quick, func(di *dispatch) { di.rq.route.Kind = matcher.NonIdempotent }, retrier.Unknown, none, 0, none},
+		"one attempt":    {slow, quick, func(di *dispatch) { di.rq.route.Attempts = 1 }, retrier.Unknown, none, 0, none},
+		"a repeat":       {slow, quick, func(di *dispatch) { di.rq.repeat = true }, retrier.Unknown, none, 0, none},
+		"budget empty":   {slow, quick, func(di *dispatch) { di.config.Budget.Allowance = 1 }, retrier.Unknown, none, 0, none},
+		"no free slot":   {slow, quick, func(di *dispatch) { di.placer.Begin("tb", 0) }, retrier.Unknown, none, 0, none},
+		"overload":       {slow, quick, func(di *dispatch) { di.hedging["r"].refusedAt = time.Now() }, retrier.Unknown, none, 0, none},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			di := hedgeCarrier(t, &tc.first, &tc.second)
-			tc.change(di)
+			if tc.change != nil {
+				tc.change(di)
+			}
 			rs := di.run(context.Background())
 			require.Equal(t, tc.outcome, rs.outcome, rs.detail)
-			if tc.status > 0 {
+			if rs.response != nil {
 				assert.Equal(t, tc.status, rs.response.status)
 			}
-			assert.Equal(t, tc.arrivals, [2]int{len(tc.first.arrivals), len(tc.second.arrivals)})
-			for nn, fn := range []*fakeNode{&tc.first, &tc.second} {
-				if tc.cancelled == nn+1 {
-					select {
-					case <-fn.cancelled:
-					case <-time.After(500 * time.Millisecond):
-						t.Error("the loser was not cancelled")
-					}
+			assert.Len(t, tc.first.arrivals, 1)
+			assert.Len(t, tc.second.arrivals, tc.hedges)
+			assert.EqualValues(t, tc.hedges, di.metrics.hedged.Count())
+			if tc.cancelled != none {
+				select {
+				case <-[]*fakeNode{&tc.first, &tc.second}[tc.cancelled-1].cancelled:
+				case <-time.After(500 * time.Millisecond):
+					t.Error("the loser was not cancelled")
 				}
-			}
-			assert.EqualValues(t, tc.arrivals[1], di.metrics.hedged.Count())
-			if name == "hedge wins" {
-				assert.EqualValues(t, 1, di.metrics.hedgeWon.Count())
-				assert.Equal(t, "tb", di.rq.target)
+				assert.EqualValues(t, 2-tc.cancelled, di.metrics.hedgeWon.Count())
 				checkHop(t, <-tc.first.arrivals, <-tc.second.arrivals)
 			}
 			di.rq.release()
@@ -166,19 +154,32 @@
 // checkHop checks that only the second attempt is a repeat, and that it gets the time
 // that is left.
 func checkHop(t *testing.T, first, second *http.Request) {
-	flags := func(r *http.Request) string { return strings.Join(strings.Split(r.Header.Get(headerHop), " ")[2:], "") }
+	flags := func(r *http.Request) string { return strings.Split(r.Header.Get(headerHop)+" ", " ")[2] }
 	assert.NotContains(t, flags(first), string(flagRepeat))
-	assert.Contains(t, flags(second), string(flagRepeat))
+	assert.Contains(t, flags(second), string(flagRepeat)+string(flagHedge))
 	left, err := strconv.Atoi(second.Header.Get("X-Timeout"))
 	require.NoError(t, err)
 	assert.Less(t, left, 125)
 }
 
+// Guards against a hedge that waits for a slot at its target, because the first node
+// did not know that the target has become busy.
+func TestHedgeNeverWaits(t *testing.T) {
+	ca := New(Config{Now: time.Now}, openGate(), noLog{}, metrics.NewRegistry())
+	rq := requestFor("a")
+	rq.hedge = true
+	for range 2 {
+		_, rs := ca.admitLocal(t.Context(), rq, time.Millisecond)
+		require.Nil(t, rs)
+	}
+	_, rs := ca.admitLocal(t.Context(), rq, time.Millisecond)
+	require.NotNil(t, rs)
+	assert.Equal(t, answerer.Overloaded, rs.kind)
+}
+
 // Guards against a refusal that hides that an earlier attempt may have run.
 func TestStrongerResult(t *testing.T) {
 	unknown, refused := &result{outcome: retrier.Unknown}, refusal(answerer.Overloaded, "", 0)
-	answered := &result{outcome: retrier.Answered, response: &response{status: 500}}
 	assert.Same(t, unknown, stronger(unknown, refused))
 	assert.Same(t, unknown, stronger(refused, unknown))
-	assert.Same(t, answered, stronger(answered, unknown))
 }
--- a/internal/carrier/last.go
+++ b/internal/carrier/last.go
@@ -115,7 +115,7 @@
 func (ca *Carrier) runLocal(ctx context.Context, rq *request) *result {
 	work := ca.expectedProcessingTime(rq)
 	began := ca.config.Now()
-	ad, rs := ca.gate.admit(ctx, rq, work)
+	ad, rs := ca.admitLocal(ctx, rq, work)
 	if rs != nil {
 		rs.report = ca.gate.load()
 		ca.metrics.refusedLocally.Inc(1)
@@ -140,6 +140,20 @@
 	return rs
 }
 
+// admitLocal obtains a slot at the local target. A hedge is refused if it would have
+// to wait, because its first attempt is running and others need the slot more.
+func (ca *Carrier) admitLocal(
+	ctx context.Context, rq *request, work time.Duration,
+) (*admission, *result) {
+	if rq.hedge {
+		re := ca.gate.load()
+		if wait := re.Waits[rq.rank()]; wait > 0 || re.Running >= re.Slots {
+			return nil, refusal(answerer.Overloaded, "no free slot for a hedge", wait)
+		}
+	}
+	return ca.gate.admit(ctx, rq, work)
+}
+
 // runTarget sends an admitted request to the target and releases its slot.
 func (ca *Carrier) runTarget(ctx context.Context, rq *request, ad *admission) *result {
 	if rs := ca.gate.recheckAdmission(rq, ad); rs != nil {
--- a/internal/carrier/request.go
+++ b/internal/carrier/request.go
@@ -36,6 +36,7 @@
 	flagRepeat         = 'p'
 	flagSameDataCentre = 'n'
 	flagAcceptLate     = 'l'
+	flagHedge          = 'h'
 
 	// returningFraction is the fraction of the usual timeout below which a
 	// request counts as a retry by a client that was refused before.
@@ -72,6 +73,9 @@
 	// acceptLate is true if a response over a full link may come after its
 	// objective, because no other link has room for it.
 	acceptLate bool
+	// hedge is true if the first attempt of the request is still running. A hedge
+	// runs at once or not at all.
+	hedge bool
 	// target is the incarnation that a request from another node is intended for.
 	target string
 	// lease holds the memory of the request's body and of all responses to it.
@@ -187,7 +191,7 @@
 	text = append(text, target...)
 	text = append(text, ' ')
 	text = strconv.AppendInt(text, rq.objective.Sub(now).Milliseconds(), 10)
-	if rq.inner || rq.returning || rq.repeat || rq.sameDataCentre || rq.acceptLate {
+	if rq.inner || rq.returning || rq.repeat || rq.sameDataCentre || rq.acceptLate || rq.hedge {
 		text = append(text, ' ')
 	}
 	if rq.inner {
@@ -205,6 +209,9 @@
 	if rq.acceptLate {
 		text = append(text, flagAcceptLate)
 	}
+	if rq.hedge {
+		text = append(text, flagHedge)
+	}
 	return string(text)
 }
 
@@ -226,6 +233,7 @@
 		rq.repeat = strings.IndexByte(parts[2], flagRepeat) >= 0
 		rq.sameDataCentre = strings.IndexByte(parts[2], flagSameDataCentre) >= 0
 		rq.acceptLate = strings.IndexByte(parts[2], flagAcceptLate) >= 0
+		rq.hedge = strings.IndexByte(parts[2], flagHedge) >= 0
 	}
 	return nil
 }
--- a/internal/retrier/late_test.go
+++ b/internal/retrier/late_test.go
@@ -16,49 +16,37 @@
 // Guards against second attempts that the rules forbid, that start sooner than needed
 // or too late to help, and against tokens withdrawn for attempts that are not made.
 func TestHedgeLate(t *testing.T) {
-	at := func(elapsed time.Duration, change func(*Late)) Late {
-		la := Late{
-			Allowed: true, Number: 1, MaxAttempts: 2, Elapsed: elapsed, After: 440 * ms,
-			Second: 310 * ms, Free: true, Objective: 800*ms - elapsed, Deadline: 1200*ms - elapsed,
-		}
-		change(&la)
-		return la
-	}
-	none := func(*Late) {}
 	for name, tt := range map[string]struct {
-		give Late
-		want Decision
+		elapsed time.Duration
+		change  func(*Late)
+		want    Decision
 	}{
-		"usual time":          {at(0, none), Decision{Delay: 490 * ms, Reason: TooEarly}},
-		"late, but time left": {at(450*ms, none), Decision{Delay: 40 * ms, Reason: TooEarly}},
-		"latest moment":       {at(490*ms, none), Decision{Again: true}},
-		"timer is late":       {at(500*ms, none), Decision{Again: true}},
-		"beyond objective":    {at(830*ms, none), Decision{Again: true}},
-		"before the deadline": {at(885*ms, none), Decision{Again: true}},
-		"no time left":        {at(895*ms, none), Decision{Reason: NoTimeLeft}},
-		"no free slot": {
-			at(490*ms, func(la *Late) { la.Free = false }),
-			Decision{Delay: retryInterval, Reason: NoCapacity},
-		},
-		"other target slow": {
-			at(490*ms, func(la *Late) { la.Second = 400 * ms }),
-			Decision{Delay: 110 * ms, Reason: TooEarly},
-		},
-		"no gain in time":  {at(490*ms, func(la *Late) { la.Second = 600 * ms }), Decision{Reason: NoTimeLeft}},
-		"not idempotent":   {at(490*ms, func(la *Late) { la.Allowed = false }), Decision{Reason: NotIdempotent}},
-		"a repeat":         {at(490*ms, func(la *Late) { la.Repeat = true }), Decision{Reason: AlreadyDecided}},
-		"no attempt left":  {at(490*ms, func(la *Late) { la.Number = 2 }), Decision{Reason: NoAttemptLeft}},
-		"unknown times":    {at(490*ms, func(la *Late) { la.After = 0 }), Decision{Reason: TooEarly}},
-		"deadline is near": {at(440*ms, func(la *Late) { la.Deadline = 340 * ms }), Decision{Again: true}},
+		"usual time":          {0, nil, Decision{Delay: 490 * ms, Reason: TooEarly}},
+		"late, but time left": {450 * ms, nil, Decision{Delay: 40 * ms, Reason: TooEarly}},
+		"latest moment":       {490 * ms, nil, Decision{Again: true}},
+		"timer is late":       {500 * ms, nil, Decision{Again: true}},
+		"before the deadline": {885 * ms, nil, Decision{Again: true}},
+		"no time left":        {895 * ms, nil, Decision{Reason: NoTimeLeft}},
+		"no free slot":        {490 * ms, func(la *Late) { la.Free = false }, Decision{Delay: retryInterval, Reason: NoCapacity}},
+		"other target slow":   {490 * ms, func(la *Late) { la.Second = 400 * ms }, Decision{Delay: 110 * ms, Reason: TooEarly}},
+		"no gain in time":     {490 * ms, func(la *Late) { la.Second = 600 * ms }, Decision{Reason: NoTimeLeft}},
+		"not idempotent":      {490 * ms, func(la *Late) { la.Allowed = false }, Decision{Reason: NotIdempotent}},
+		"a repeat":            {490 * ms, func(la *Late) { la.Repeat = true }, Decision{Reason: AlreadyDecided}},
+		"no attempt left":     {490 * ms, func(la *Late) { la.Number = 2 }, Decision{Reason: NoAttemptLeft}},
+		"unknown times":       {490 * ms, func(la *Late) { la.After = 0 }, Decision{Reason: TooEarly}},
 	} {
-		t.Run(name, func(t *testing.T) {
-			asked := false
-			got := HedgeLate(tt.give, func() bool { asked = true; return true })
-			require.Equal(t, tt.want, got)
-			require.Equal(t, tt.want.Again, asked)
-			refused := HedgeLate(tt.give, func() bool { return false })
-			require.Equal(t, tt.want.Again, refused.Reason == BudgetEmpty)
-		})
+		la := Late{
+			Allowed: true, Number: 1, MaxAttempts: 2, Elapsed: tt.elapsed, After: 440 * ms, Free: true,
+			Second: 310 * ms, Objective: 800*ms - tt.elapsed, Deadline: 1200*ms - tt.elapsed,
+		}
+		if tt.change != nil {
+			tt.change(&la)
+		}
+		asked := false
+		require.Equal(t, tt.want, HedgeLate(la, func() bool { asked = true; return true }), name)
+		require.Equal(t, tt.want.Again, asked, name)
+		refused := HedgeLate(la, func() bool { return false })
+		require.Equal(t, tt.want.Again, refused.Reason == BudgetEmpty, name)
 	}
 }
 
@@ -77,7 +65,7 @@
 
 func fixedTime(after time.Duration) policy {
 	return func(la Late, _, _ time.Duration, take func() bool) Decision {
-		return Decision{Delay: after - la.Elapsed, Again: la.Elapsed >= after && take()}
+		return Decision{Delay: after - la.Elapsed, Again: la.Allowed && la.Elapsed >= after && take()}
 	}
 }
 
@@ -91,10 +79,11 @@
 	},
 }
 
-// replay runs the tail load. It returns the share of requests with a response within
-// the objective, and the second attempts per request.
-func replay(nodes int, take func(*budgeter.Budget, time.Time) bool, decide policy) (within, extra float64) {
-	const requests, perMs = 40_000, 0.4
+// replay runs the tail load on a number of nodes, whose requests make calls. It returns
+// the share of requests with a response within the objective, and the second attempts
+// per request.
+func replay(nodes int, calls float64, limited bool, decide policy) (within, extra float64) {
+	const requests, perMs, objective, deadline = 40_000, 0.4, 800 * ms, 1200 * ms
 	random := rand.New(rand.NewPCG(5, 6))
 	steps := make([][]func(now int), 2*requests/perMs) // by millisecond
 	at := func(when int, step func(int)) { steps[when] = append(steps[when], step) }
@@ -109,7 +98,7 @@
 			if took := time.Duration(now-began) * ms; !over {
 				over = true
 				ti.Add(took)
-				within += float64(min(1, max(0, (800*ms-took)/ms+1)))
+				within += float64(min(1, max(0, (objective-took)/ms+1)))
 			}
 		}
 		var ask func(int)
@@ -118,13 +107,13 @@
 			if now == began {
 				bu.Request(wall)
 			}
-			if over {
-				return
+			take := func() bool {
+				return !limited || bu.Take(budgeter.Retry{Nodes: nodes, Calls: calls, Hedge: true}, wall)
 			}
 			de := decide(Late{
-				Allowed: true, Number: 1, MaxAttempts: 2, Elapsed: elapsed, Free: true, After: ti.Late(),
-				Second: ti.Second(), Objective: 800*ms - elapsed, Deadline: 1200*ms - elapsed,
-			}, first, second, func() bool { return take(bu, wall) })
+				Allowed: !over, Number: 1, MaxAttempts: 2, Elapsed: elapsed, Free: true, After: ti.Late(),
+				Second: ti.Second(), Objective: objective - elapsed, Deadline: deadline - elapsed,
+			}, first, second, take)
 			if de.Again {
 				extra++
 				at(now+int(second/ms), end)
@@ -152,10 +141,8 @@
 	}{{1, 0, 0.988}, {1, 1.4, 0.978}, {65, 0, 0.980}, {65, 1.4, 0.976}} {
 		within := map[string]float64{}
 		for name, decide := range policies {
-			free, freeExtra := replay(tt.nodes, func(*budgeter.Budget, time.Time) bool { return true }, decide)
-			got, extra := replay(tt.nodes, func(bu *budgeter.Budget, now time.Time) bool {
-				return bu.Take(budgeter.Retry{Nodes: tt.nodes, Calls: tt.calls, Hedge: true}, now)
-			}, decide)
+			free, freeExtra := replay(tt.nodes, tt.calls, false, decide)
+			got, extra := replay(tt.nodes, tt.calls, true, decide)
 			t.Logf("%d nodes, %v calls, %-12s: within 800 ms %.4f, extra %.4f; without a budget %.4f, %.4f",
 				tt.nodes, tt.calls, name, got, extra, free, freeExtra)
 			within[name] = got
