carrier: hedge an attempt that follows refused ones

Only the first placement of a request could be hedged, so that a request whose first target had left got no second attempt when its next target was slow. What counts is that no target has been reached yet.

internal/carrier passes with -race.

--- a/internal/carrier/hedge.go
+++ b/internal/carrier/hedge.go
@@ -31,7 +31,7 @@
 // hedgeDelay returns the time after which the next attempt may be late, and whether it
 // may be hedged. An attempt that may not needs no goroutine.
 func (di *dispatch) hedgeDelay(now time.Time) (time.Duration, bool) {
-	if !hedgeable(di.rq.route) || di.rq.repeat || len(di.tried) > 0 {
+	if !hedgeable(di.rq.route) || di.rq.repeat || di.reached > 0 {
 		return 0, false
 	}
 	di.mu.Lock()
