--- a/cmd/guavastall/mesh_test.go
+++ b/cmd/guavastall/mesh_test.go
@@ -125,6 +125,8 @@
 	logAt netip.AddrPort
 	links *links
 	nodes []*meshNode
+	// program is the program that runs the nodes.
+	program string
 }
 
 // meshNode is a node and its target, each running in its own process.
@@ -133,6 +135,7 @@
 	dc         int
 	target     *process
 	targetAt   netip.AddrPort
+	listen     netip.AddrPort
 	callers    netip.AddrPort
 	operatorAt netip.AddrPort
 	operator   *operator.Client
@@ -169,7 +172,9 @@
 }
 
 func newMesh(t *testing.T, logArgs ...string) *mesh {
-	me := &mesh{t: t, logAt: freePort(t, "127.0.0.1"), links: newLinks(t)}
+	me := &mesh{
+		t: t, logAt: freePort(t, "127.0.0.1"), links: newLinks(t), program: binaries.node,
+	}
 	args := append([]string{"log", "--listen", me.logAt.String()}, logArgs...)
 	me.log = start(t, binaries.standin, args...)
 	for dc := range dataCentreNames {
@@ -185,14 +190,14 @@
 	no.target = start(t, binaries.standin, append([]string{
 		"target", "--listen", no.targetAt.String(), "--target-version", version,
 	}, targetArgs...)...)
-	listen := freePort(t, fmt.Sprintf("127.1.%d.%d", dc+1, nn))
+	no.listen = freePort(t, fmt.Sprintf("127.1.%d.%d", dc+1, nn))
 	advertise := freePort(t, fmt.Sprintf("127.2.%d.%d", dc+1, nn))
-	me.links.open(dc, anyEndpoint, advertise, listen)
+	me.links.open(dc, anyEndpoint, advertise, no.listen)
 	no.callers = freePort(t, "127.0.0.1")
 	no.operatorAt = freePort(t, "127.0.0.1")
 	args := []string{
 		"node", "--data-centre", string(dataCentreNames[dc]), "--region", "punjab",
-		"--listen", listen.String(), "--advertise", advertise.String(),
+		"--listen", no.listen.String(), "--advertise", advertise.String(),
 		"--caller-listen", no.callers.String(), "--operator-listen", no.operatorAt.String(),
 		"--service", "tag", "--target-version", version, "--target", no.targetAt.String(),
 		"--platform-log", me.links.address(logEndpoint, dc).String(),
@@ -201,7 +206,7 @@
 		args = append(args, "--seed", me.links.advertisedBy(other).String())
 	}
 	no.operator = operator.New(no.operatorAt, "", 10*time.Second)
-	no.process = start(t, binaries.node, args...)
+	no.process = start(t, me.program, args...)
 	me.nodes = append(me.nodes, no)
 	return no
 }
