connlimiter: bound connections and unfinished heads of the servers

Cause: every server but the one of clients accepted any number of connections and read heads of up to 64 KiB (operators: 1 MiB, without a head or idle timeout). Many short fields take some 20 times their length in memory, so a few hundred unfinished heads exhausted it, and connections used all descriptors.

Change: connlimiter.Listener bounds open connections and the estimated memory of unfinished heads. At a bound it closes connections without a complete request first, then those idle for longest, and never one with a request in flight; a request whose head is read on a connection that has just been closed does not run. It is used for the sidecar's servers for other nodes, control, readiness and metrics and for all servers of `guavastall node`. Limits follow from the setting max_fds (new in Settings; else RLIMIT_NOFILE) and the memory setting. Servers for programs of the same VM get heads of 8 KiB, 32 connections and 5 s to read a request and write a response; operators' heads are bounded by 16 KiB, with head and idle timeouts. Calls between nodes with a body are cut off, because the server would wait for the body without a deadline. The server of clients is unchanged; it gets its own package.

--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -64,7 +64,8 @@
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			sc, ok := r.Context().Value(connKey{}).(*serverConn)
 			if ok && !sc.begin() {
-				// The close notice already told the client "not run".
+				// The close notice already told the client "not run", or the connection
+				// has been closed.
 				panic(http.ErrAbortHandler)
 			}
 			if sv.draining.Load() {
@@ -183,6 +184,15 @@
 	}
 }
 
+// requestTracker is a connection that follows the requests on it, such as one of a
+// listener with limits.
+type requestTracker interface {
+	// BeginRequest returns false if the connection has been closed and the request
+	// must not run.
+	BeginRequest() bool
+	EndRequest()
+}
+
 // listener wraps the accepted connections.
 type listener struct {
 	net.Listener
@@ -215,6 +225,9 @@
 	if sc.noticeSent {
 		return false
 	}
+	if rt, ok := sc.Conn.(requestTracker); ok && !rt.BeginRequest() {
+		return false
+	}
 	sc.busy = true
 	return true
 }
@@ -223,6 +236,9 @@
 	sc.mu.Lock()
 	sc.busy, sc.idleSince = false, time.Now()
 	sc.mu.Unlock()
+	if rt, ok := sc.Conn.(requestTracker); ok {
+		rt.EndRequest()
+	}
 }
 
 // closeNoticeText is the close notice. HTTP clients also understand it on an idle
--- a/internal/meshrunner/meshrunner.go
+++ b/internal/meshrunner/meshrunner.go
@@ -177,58 +177,6 @@
 	return !ru.draining.Load() && ru.carrier.View() != nil
 }
 
-const (
-	// headerTimeout bounds the time to read a request's header.
-	headerTimeout = 5 * time.Second
-	// maxHeaderBytes bounds the size of a request's header.
-	maxHeaderBytes = 64 << 10
-	// idleTimeout is how long clients' connections may be idle. It is above the
-	// limits that operators set, so that no request is in transit when a
-	// connection is closed.
-	idleTimeout = 2 * time.Minute
-)
-
-// shutdownTimeout bounds the time in which a server completes the requests that
-// it has already accepted when it is stopped.
-const shutdownTimeout = 400 * time.Millisecond
-
-// shutDown stops the server without cutting off requests that it has just accepted.
-func shutDown(server *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		_ = server.Close()
-	}
-}
-
-// serve runs a server at the address until ctx is done, and reports its end on done.
-func (ru *Runner) serve(
-	ctx context.Context, address netip.AddrPort, ha http.Handler, done chan<- error,
-) {
-	server := &http.Server{
-		Handler: ha, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
-	}
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		done <- err
-		return
-	}
-	stopped := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		defer close(stopped)
-		shutDown(server)
-	})
-	err = server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		err = nil
-	}
-	if !stop() {
-		<-stopped
-	}
-	done <- err
-}
-
 // Run runs the node until SIGTERM arrives on the channel or a server fails.
 // SIGHUP reloads the settings.
 func (ru *Runner) Run(signals <-chan os.Signal) error {
@@ -240,17 +188,7 @@
 		"clients": se.Clients.String(), "nodes": se.Nodes.String(), "store": se.Store.String(),
 	}).Info("start")
 
-	servers := map[netip.AddrPort]http.Handler{
-		se.Nodes: ru.nodesHandler(ctx), se.Clients: ru.carrier.Clients(),
-		se.Ready: ru.Parts.Ready(ru), se.Control: ru.Control(ru),
-	}
-	if se.Metrics.IsValid() {
-		servers[se.Metrics] = ru.metricsHandler()
-	}
-	failed := make(chan error, len(servers))
-	for address, ha := range servers {
-		go ru.serve(ctx, address, ha, failed)
-	}
+	failed, serving := ru.startServers(ctx)
 	loops := []func(context.Context, chan<- struct{}){
 		ru.operator.Run, ru.mesh.Run, ru.maintain, ru.publish, ru.runRollouts,
 	}
@@ -266,7 +204,6 @@
 	}
 	// The addresses are free for the node's next process only when the servers
 	// have closed their listeners.
-	serving := len(servers)
 	if err != nil {
 		serving-- // its end has been received
 	}
--- a/internal/meshrunner/peers.go
+++ b/internal/meshrunner/peers.go
@@ -79,6 +79,11 @@
 			requests.ServeHTTP(w, r)
 			return
 		}
+		if r.ContentLength != 0 {
+			// Calls between nodes have no body, and the server would wait for this one
+			// after the response.
+			panic(http.ErrAbortHandler)
+		}
 		w.Header()["Date"] = nil
 		mux.ServeHTTP(w, r)
 	})
--- a/internal/meshrunner/settings.go
+++ b/internal/meshrunner/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/guavastall/guavastall/internal/budgeter"
+	"github.com/guavastall/guavastall/internal/connlimiter"
 )
 
 // Settings are the settings of a node that follows a store.
@@ -25,6 +26,9 @@
 	Store netip.AddrPort
 	// Memory is the memory limit of the process in bytes, or zero for none.
 	Memory int64
+	// Descriptors is the number of files and connections that the process may have
+	// open, or zero for the limit of the operating system.
+	Descriptors int
 	// Capacity is the number of processors of the VM. It may be fractional.
 	Capacity float64
 	// LinkRate is the rate of the VM's link in bits per second; zero if it is
@@ -56,6 +60,11 @@
 	return rate*se.ColdFactor + coldSlackFraction*se.ColdSlack
 }
 
+// budget returns what connections may use.
+func (se *Settings) budget() connlimiter.Budget {
+	return connlimiter.NewBudget(se.Descriptors, se.Memory)
+}
+
 // Check returns an error that lists all invalid settings, or nil.
 func (se *Settings) Check() error {
 	var errs []error
@@ -76,8 +85,9 @@
 	if !(se.LinkRate >= 0) {
 		errs = append(errs, fmt.Errorf("link rate %v is not positive or zero", se.LinkRate))
 	}
-	if se.Grace < 0 || se.Memory < 0 {
-		errs = append(errs, errors.New("the grace period or the memory limit is negative"))
+	if se.Grace < 0 || se.Memory < 0 || se.Descriptors < 0 {
+		errs = append(errs, errors.New(
+			"the grace period or the limit of memory or descriptors is negative"))
 	}
 	if se.ColdFactor < 1 {
 		errs = append(errs, fmt.Errorf("cold rate factor %v is below 1", se.ColdFactor))
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -12,7 +12,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,7 +23,6 @@
 	"github.com/guavastall/guavastall/internal/answerer"
 	"github.com/guavastall/guavastall/internal/appender"
 	"github.com/guavastall/guavastall/internal/claimer"
-	"github.com/guavastall/guavastall/internal/commander"
 	"github.com/guavastall/guavastall/internal/detector"
 	"github.com/guavastall/guavastall/internal/distributor"
 	"github.com/guavastall/guavastall/internal/elector"
@@ -46,8 +44,6 @@
 	// drainDelay is the time between the announcement of the drain and the first
 	// rejected call. An announcement reaches the members in less than a second.
 	drainDelay = time.Second
-	// operatorReadTimeout limits the time to read an operator's request.
-	operatorReadTimeout = 10 * time.Second
 )
 
 // Listeners are the sockets of a node.
@@ -253,6 +249,7 @@
 	componentCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	sv := no.newServers()
+	ls = no.limitListeners(ls)
 	failed := make(chan error, 3)
 	go func() { failed <- sv.peers.Serve(ls.Peers) }()
 	go func() { failed <- sv.operators.Serve(ls.Operators) }()
@@ -288,31 +285,6 @@
 	return err
 }
 
-// servers are the HTTP servers of a node.
-type servers struct {
-	peers, callers *forwarder.Server
-	operators      *http.Server
-}
-
-func (no *Node) newServers() servers {
-	peers := no.forwarder.Peers()
-	mux := http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
-		if req.Method == http.MethodConnect {
-			no.links.ServeHTTP(wr, req)
-			return
-		}
-		peers.ServeHTTP(wr, req)
-	})
-	commands := commander.New(commander.Config{
-		Token: no.settings.Token, Node: no, Metrics: no.metrics, Log: no.log, Now: no.now,
-	})
-	return servers{
-		peers:     forwarder.NewServer(mux, nil),
-		callers:   forwarder.NewServer(no.forwarder.Callers(), nil),
-		operators: &http.Server{Handler: commands, ReadTimeout: operatorReadTimeout},
-	}
-}
-
 // startComponents starts the components that have their own goroutines. It
 // returns the channels that are closed when they end.
 func (no *Node) startComponents(ctx context.Context) []<-chan struct{} {
