--- a/internal/meshrunner/settings.go
+++ b/internal/meshrunner/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/guavastall/guavastall/internal/budgeter"
+	"github.com/guavastall/guavastall/internal/connlimiter"
 )
 
 // Settings are the settings of a node that follows a store.
@@ -25,8 +26,8 @@
 	Store netip.AddrPort
 	// Memory is the memory limit of the process in bytes, or zero for none.
 	Memory int64
-	// Descriptors is the number of file descriptors that the process may open, or zero
-	// if it is unknown.
+	// Descriptors is the number of files and connections that the process may have
+	// open, or zero for the limit of the operating system.
 	Descriptors int
 	// Capacity is the number of processors of the VM. It may be fractional.
 	Capacity float64
@@ -59,6 +60,11 @@
 	return rate*se.ColdFactor + coldSlackFraction*se.ColdSlack
 }
 
+// budget returns what connections may use.
+func (se *Settings) budget() connlimiter.Budget {
+	return connlimiter.NewBudget(se.Descriptors, se.Memory)
+}
+
 // Check returns an error that lists all invalid settings, or nil.
 func (se *Settings) Check() error {
 	var errs []error
@@ -80,7 +86,8 @@
 		errs = append(errs, fmt.Errorf("link rate %v is not positive or zero", se.LinkRate))
 	}
 	if se.Grace < 0 || se.Memory < 0 || se.Descriptors < 0 {
-		errs = append(errs, errors.New("the grace period or a resource limit is negative"))
+		errs = append(errs, errors.New(
+			"the grace period or the limit of memory or descriptors is negative"))
 	}
 	if se.ColdFactor < 1 {
 		errs = append(errs, fmt.Errorf("cold rate factor %v is below 1", se.ColdFactor))
