--- a/internal/carrier/average.go
+++ b/internal/carrier/average.go
@@ -23,6 +23,7 @@
 	retainKeys(ca.usualTimes, names)
 	retainKeys(ca.callsPerRun, names)
 	retainKeys(ca.responseBytes, names)
+	retainKeys(ca.hedging, names)
 }
 
 func retainKeys[T any](averages map[string]T, routes map[string]bool) {
--- a/internal/meshrunner/serve_test.go
+++ b/internal/meshrunner/serve_test.go
@@ -28,7 +28,9 @@
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
-	go new(Runner).serve(ctx, address, handler, done)
+	listener, err := net.Listen("tcp", address.String())
+	require.NoError(t, err)
+	go serveUntil(ctx, newServer(handler), listener, done)
 	require.Eventually(t, func() bool {
 		conn, err := net.Dial("tcp", address.String())
 		if err == nil {
