carrier: attempts at fast targets are late earlier

A request in the slow tail of a fast target was hedged only when it was late for the route as a whole, and the second attempt then missed the objective. The time after which an attempt is late is now scaled by the target's expected speed, to at most that of the route.

--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -44,6 +44,9 @@
 	reached            int
 	lastResult         *result
 	shortestRetryAfter time.Duration
+	// lateScale is the ratio of the time after which the running attempt is late to
+	// that of the route.
+	lateScale float64
 }
 
 // Clients returns the handler for requests from clients and from the local
@@ -216,7 +219,7 @@
 		if rs != nil {
 			return di.finalResult(rs)
 		}
-		if delay, ok := di.hedgeDelay(now); ok {
+		if delay, ok := di.hedgeDelay(ch, now); ok {
 			rs = di.race(ctx, ch, delay)
 		} else {
 			rs = di.attempt(ctx, ch)
--- a/internal/carrier/hedge.go
+++ b/internal/carrier/hedge.go
@@ -30,7 +30,7 @@
 
 // hedgeDelay returns the time after which the next attempt may be late, and whether it
 // may be hedged. An attempt that may not needs no goroutine.
-func (di *dispatch) hedgeDelay(now time.Time) (time.Duration, bool) {
+func (di *dispatch) hedgeDelay(ch placer.Choice, now time.Time) (time.Duration, bool) {
 	if !hedgeable(di.rq.route) || di.rq.repeat || di.reached > 0 {
 		return 0, false
 	}
@@ -40,6 +40,9 @@
 	if he == nil {
 		return 0, false
 	}
+	// At a fast target an attempt is late earlier. At a slow one it is not later: the
+	// request may do better elsewhere.
+	di.lateScale = min(di.placer.Outlook(ch, di.forPlacer(now), now).Slowdown, 1)
 	la := di.late(&he.times, now, now)
 	// The budget is asked when the time has come, not now.
 	de := retrier.HedgeLate(la, func() bool { return false })
@@ -52,7 +55,8 @@
 	return retrier.Late{
 		Allowed: hedgeable(di.rq.route), Repeat: di.rq.repeat,
 		Number: di.reached + 1, MaxAttempts: di.rq.route.Attempts,
-		Elapsed: now.Sub(began), After: times.Late(), Second: times.Second(), Free: true,
+		Elapsed: now.Sub(began), Second: times.Second(), Free: true,
+		After:     time.Duration(di.lateScale * float64(times.Late())),
 		Objective: di.rq.objective.Sub(now), Deadline: di.rq.deadline.Sub(now),
 	}
 }
