carrier: bound the news of other nodes, drop node headers of targets

The figures are now bounded. Ages are bounded, and the time between nodes is added as it is for paces. - A target could set the headers that nodes use between them. With Gs-Refused it could claim that a request which ran has not, so that it would run again. They are removed from a target's response.

The waits of the local queue are computed for news only if the target announces its pace.

--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -398,15 +398,7 @@
 	di.mu.Lock()
 	defer di.mu.Unlock()
 	di.placer.End(ta.ID, di.rq.route.Name, rs.report, now)
-	remote := ta.DataCentre != di.config.DataCentre
-	if rs.nodeFailed {
-		di.placer.MarkUnreachable(ta.Node, now)
-		if remote {
-			di.placer.RecordFailure(ta.DataCentre, ta.Node, now)
-		}
-	} else if remote && rs.report != nil {
-		di.placer.RecordResponse(ta.DataCentre)
-	}
+	di.recordReachability(ta, rs, now)
 	if rs.outcome == retrier.NotRun && !rs.reached && rs.kind != answerer.Cancelled {
 		rank := di.rq.rank()
 		if rs.kind != answerer.Overloaded {
@@ -433,6 +425,20 @@
 	}
 }
 
+// recordReachability records what an attempt showed about the target's node and its data
+// centre. The caller must hold ca.mu.
+func (di *dispatch) recordReachability(ta placer.Target, rs *result, now time.Time) {
+	remote := ta.DataCentre != di.config.DataCentre
+	if rs.nodeFailed {
+		di.placer.MarkUnreachable(ta.Node, now)
+		if remote {
+			di.placer.RecordFailure(ta.DataCentre, ta.Node, now)
+		}
+	} else if remote && rs.report != nil {
+		di.placer.RecordResponse(ta.DataCentre)
+	}
+}
+
 // isFinal reports whether the attempt's result ends the request.
 func (di *dispatch) isFinal(ctx context.Context, rs *result) bool {
 	if ctx.Err() != nil || rs.kind == answerer.Cancelled {
--- a/internal/carrier/load.go
+++ b/internal/carrier/load.go
@@ -9,6 +9,11 @@
 	"github.com/guavastall/guavastall/internal/placer"
 )
 
+// maxLoadField bounds the numbers in a load header, which are times in ms, counts and
+// hundredths. Greater ones, of a faulty node, would overflow in sums of expected times, so
+// that the target would look best.
+const maxLoadField = 1_000_000
+
 // loadFields is the number of values in a load header.
 const loadFields = 7 + int(admitter.Ranks)
 
@@ -44,12 +49,12 @@
 		if err != nil || value < 0 {
 			return nil
 		}
-		values[nn] = value
+		values[nn] = min(value, maxLoadField)
 	}
 	re := &placer.Report{
 		Running: values[0], Slots: values[1],
 		Work:         time.Duration(values[2]) * time.Millisecond,
-		FailureShare: float64(values[3]) / 100,
+		FailureShare: min(float64(values[3])/100, 1),
 		Took:         time.Duration(values[4]) * time.Millisecond,
 		Calls:        float64(values[5]) / 100, Slowness: float64(values[6]) / 100,
 	}
--- a/internal/carrier/pace.go
+++ b/internal/carrier/pace.go
@@ -13,17 +13,19 @@
 	return placer.TargetPace{Target: ga.local.Current().ID, Pace: ga.paces.Pace()}
 }
 
-// news returns the current target, its pace and the state of its queue.
+// news returns the current target, its pace and, if that is known, the state of its
+// queue.
 func (ga *Gate) news() placer.TargetPace {
 	now := ga.now()
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	return placer.TargetPace{
-		Target: ga.local.Current().ID, Pace: ga.paces.Pace(),
-		Queue: placer.QueueState{
+	tp := placer.TargetPace{Target: ga.local.Current().ID, Pace: ga.paces.Pace()}
+	if tp.Pace.Latest > 0 {
+		tp.Queue = placer.QueueState{
 			Running: ga.queue.Running(), Waits: ga.queue.Waits(now), At: now,
-		},
+		}
 	}
+	return tp
 }
 
 // addPace records a pace that the target announced, unless it has been replaced.
--- a/internal/carrier/respond.go
+++ b/internal/carrier/respond.go
@@ -120,12 +120,13 @@
 // typicalHeadBytes is the size of the head of a response between nodes.
 const typicalHeadBytes = 300
 
-// writeHead writes the status and the header of a target's response.
+// writeHead writes the status and the header of a target's response, without the headers
+// that only nodes may set.
 func writeHead(w http.ResponseWriter, re *response) {
 	header := w.Header()
 	hop := stripper.NewHopByHop(re.header)
 	for name, values := range re.header {
-		if !hop.Has(name) {
+		if !hop.Has(name) && !isNodeHeader(name) {
 			header[name] = values
 		}
 	}
@@ -135,6 +136,16 @@
 	w.WriteHeader(re.status)
 }
 
+// isNodeHeader reports whether the header of a response is from a node. A target that
+// set one could claim that a request has not run, so that it would run again.
+func isNodeHeader(name string) bool {
+	switch name {
+	case headerLoad, headerWarning, headerRefused, headerUnknown, headerLink:
+		return true
+	}
+	return false
+}
+
 func bodyAllowed(status int) bool {
 	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/internal/carrier/warning.go
+++ b/internal/carrier/warning.go
@@ -23,12 +23,12 @@
 	// has the pace during the request, or zero, in place of the state of the queue,
 	// which is in the load header.
 	respondingTarget = "="
-	// hopTime is added to the age of a pace that another node passes on, for the time
-	// between the nodes. Without it, a pace that is passed around would age too slowly.
+	// hopTime is added to the age of news that another node passes on, for the time
+	// between the nodes. Without it, news that are passed around would age too slowly.
 	hopTime = 3 * time.Millisecond
-	// maxPaceField and maxPaceFieldAge bound the numbers of a pace.
-	maxPaceField    = 100_000
-	maxPaceFieldAge = 60_000
+	// maxPaceField bounds the numbers of a pace, and maxNewsAge the ages of news in ms.
+	maxPaceField = 100_000
+	maxNewsAge   = 60_000
 	// responsePaceFields and paceFields are the numbers of fields of a pace in a
 	// response of its target and of one that is passed on.
 	responsePaceFields = 4
@@ -136,7 +136,7 @@
 
 // appendQueue appends the state of a queue, with its age at the given time.
 func appendQueue(text []byte, qs *placer.QueueState, now time.Time) []byte {
-	age := min(max(now.Sub(qs.At).Milliseconds(), 0), maxPaceFieldAge)
+	age := min(max(now.Sub(qs.At).Milliseconds(), 0), maxNewsAge)
 	text = appendField(appendField(text, age), int64(qs.Running))
 	for _, wait := range qs.Waits {
 		text = appendField(text, min(wait.Milliseconds(), maxPaceField))
@@ -177,6 +177,7 @@
 			continue
 		}
 		if wa, ok := decodeWarning(target, rest); ok {
+			wa.Age += hopTime
 			ca.placer.Warn(wa, now)
 		}
 	}
@@ -206,7 +207,7 @@
 		want = responsePaceFields
 	}
 	if count != want || target == "" || values[0] == 0 || values[1] == 0 ||
-		values[2] > maxPaceFieldAge {
+		values[2] > maxNewsAge {
 		return tp, 0, false
 	}
 	at := func(age int) time.Time {
@@ -231,7 +232,7 @@
 	ageText, load, _ := strings.Cut(text, " ")
 	age, err := strconv.Atoi(ageText)
 	re := decodeLoad(load)
-	if err != nil || age < 0 || re == nil || target == "" {
+	if err != nil || age < 0 || age > maxNewsAge || re == nil || target == "" {
 		return placer.Warning{}, false
 	}
 	return placer.Warning{
