placer: forget what has left, sample targets with room

- Failures of nodes that have left counted for ever, so that one later failure made their data centre count as cut off.
A node that left was probed until the next view if an attempt at it failed late or if its data centre was suspected.
- Late failures of attempts in flight delayed the probe of a data centre that is cut off.
- News of targets that have left, or never existed, created state and were passed on until the next view.
- Among targets that are not preferred, the best of two random ones could have a wait beyond the objective, so that the request was given up although other targets had room.
Those are left out of the sample.

Fewer look-ups and copies per choice.

--- a/internal/placer/centre.go
+++ b/internal/placer/centre.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 )
@@ -33,12 +34,18 @@
 // RecordFailure records that a node of another data centre could not be reached or did
 // not respond.
 func (pl *Placer) RecordFailure(dataCentre string, node netip.AddrPort, now time.Time) {
+	if pl.hasLeft(node) {
+		return
+	}
 	ce := pl.centres[dataCentre]
 	if ce == nil {
 		ce = &centre{failed: map[netip.AddrPort]bool{}}
 		pl.centres[dataCentre] = ce
 	}
-	if ce.failed[node] = true; len(ce.failed) == suspectThreshold {
+	suspected := ce.suspected()
+	ce.failed[node] = true
+	// Later failures of attempts in flight don't delay the probe.
+	if !suspected && ce.suspected() {
 		ce.probeAt = now.Add(minProbeDelay)
 	}
 	pl.centreOf[node] = dataCentre
@@ -72,6 +79,20 @@
 	return false
 }
 
+// keepCentres removes the state of all nodes except the given ones. Failures of nodes
+// that have left say nothing about the others of their data centre.
+func (pl *Placer) keepCentres(nodes map[netip.AddrPort]bool) {
+	left := func(node netip.AddrPort) bool { return !nodes[node] }
+	maps.DeleteFunc(pl.centreOf, func(node netip.AddrPort, _ string) bool { return left(node) })
+	maps.DeleteFunc(pl.centres, func(_ string, ce *centre) bool {
+		maps.DeleteFunc(ce.failed, func(node netip.AddrPort, _ bool) bool { return left(node) })
+		if left(ce.skipped) {
+			ce.skipped = netip.AddrPort{}
+		}
+		return len(ce.failed) == 0
+	})
+}
+
 // centreProbesDue returns a node of each suspected data centre that is due for a probe.
 func (pl *Placer) centreProbesDue(now time.Time) []netip.AddrPort {
 	var due []netip.AddrPort
--- a/internal/placer/load.go
+++ b/internal/placer/load.go
@@ -18,15 +18,15 @@
 	}
 	busy := float64(lo.outstanding)
 	work, wait := defaultWork, time.Duration(0)
-	if qs := lo.latestQueue(); !qs.At.IsZero() {
-		age := now.Sub(qs.At)
+	if running, reported, at := lo.latestQueue(rank); !at.IsZero() {
+		age := now.Sub(at)
 		weight := ageWeight(age, staleAge)
-		busy = max(busy, weight*float64(qs.Running+lo.sinceReport))
+		busy = max(busy, weight*float64(running+lo.sinceReport))
 		scale := lo.waitScale(now)
 		if lo.reported {
 			work = time.Duration(scale * float64(lo.report.Work))
 		}
-		wait = time.Duration(scale*weight*float64(qs.Waits[rank])) - age
+		wait = time.Duration(scale*weight*float64(reported)) - age
 	}
 	wait = max(wait, 0)
 	if over := busy - float64(slots); over > 0 {
@@ -35,12 +35,13 @@
 	return wait, min(busy/float64(slots), 1)
 }
 
-// latestQueue returns the newest known state of the target's queue.
-func (lo *load) latestQueue() QueueState {
+// latestQueue returns the newest known state of the target's queue: the running requests
+// and the expected wait of the rank.
+func (lo *load) latestQueue(rank admitter.Rank) (running int, wait time.Duration, at time.Time) {
 	if lo.queue.At.After(lo.reportedAt) {
-		return lo.queue
+		return lo.queue.Running, lo.queue.Waits[rank], lo.queue.At
 	}
-	return lo.report.Queue(lo.reportedAt)
+	return lo.report.Running, lo.report.Waits[rank], lo.reportedAt
 }
 
 // transferTime returns the time that the response takes over the link of the
--- a/internal/placer/pace.go
+++ b/internal/placer/pace.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"cmp"
 	"time"
 
 	"github.com/guavastall/guavastall/internal/admitter"
@@ -15,8 +14,8 @@
 	maxSharedPaceAge = time.Second
 	// maxWaitScale bounds the factor by which a newer pace changes a reported wait.
 	maxWaitScale = 4.0
-	// fullThreshold is the fraction of used slots above which a target with a known
-	// pace costs more, and fullPenalty the cost per further fraction in multiples of the
+	// fullThreshold is the fraction of used slots above which a target of a service with
+	// known paces costs more, and fullPenalty the cost per further fraction in multiples of the
 	// work time. Nodes that know the same paces choose the same targets until they hear
 	// of each other's choices, so that some slots have to stay free. In the replay of
 	// TestUnevenTargets 0.9897 were in time with this penalty and 0.9765 without.
@@ -45,9 +44,12 @@
 	return QueueState{Running: re.Running, Waits: re.Waits, At: at}
 }
 
-// SetPace stores the pace of a target of the own data centre, unless a newer one is
-// known.
+// SetPace stores the pace of a target of the own data centre, unless a newer one or
+// no such target is known.
 func (pl *Placer) SetPace(tp TargetPace) {
+	if !pl.known(tp.Target) {
+		return
+	}
 	lo := pl.load(tp.Target)
 	lo.local = true
 	lo.setPace(&tp.Pace)
@@ -91,7 +93,10 @@
 
 // newer reports whether a pace of the given time and target comes before another one.
 func newer(at time.Time, id string, other *TargetPace) bool {
-	return cmp.Or(other.Pace.At.Compare(at), cmp.Compare(id, other.Target)) < 0
+	if order := other.Pace.At.Compare(at); order != 0 {
+		return order < 0
+	}
+	return id < other.Target
 }
 
 // PacedWork returns the expected time of the route's requests at a target of the given
@@ -117,14 +122,30 @@
 	pl.usualTimes[route] = usual + time.Duration(smoothing*float64(sample-usual))
 }
 
+// anyPace reports whether the pace of any of the targets is used for the route. The
+// penalty of full targets then applies to all of them, because those without a pace
+// would otherwise fill up first.
+func (pl *Placer) anyPace(targets []Target, route string, now time.Time) bool {
+	if _, ok := pl.usualTimes[route]; !ok {
+		return false
+	}
+	for nn := range targets {
+		if lo := pl.loads[targets[nn].ID]; lo != nil && lo.pace.Known(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // expectedWork returns the expected time of the route's requests at the target, and the
 // pace that it is based on; zero if the pace is unknown.
 func (pl *Placer) expectedWork(lo *load, route string, now time.Time) (time.Duration, float64) {
-	work, ok := pl.PacedWork(route, &lo.pace, now)
-	if !ok {
+	usual, ok := pl.usualTimes[route]
+	if !ok || !lo.pace.Known(now) {
 		return time.Duration(lo.slowdown(now) * float64(pl.Work(route))), 0
 	}
-	pace := float64(work) / float64(max(pl.usualTimes[route], 1))
+	pace := lo.pace.Expected(usual, now)
+	work := time.Duration(pace * float64(usual))
 	// A target that is much slower than it announces is faulty.
 	if lo.reported && lo.report.IsSlow() {
 		weight := ageWeight(now.Sub(lo.reportedAt), staleSlownessAge)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -169,7 +169,11 @@
 type Placer struct {
 	random *rand.Rand
 	loads  map[string]*load
-	nodes  map[netip.AddrPort]*nodeBackoff
+	// targets and members are the targets and nodes of the latest call of Keep; nil
+	// before the first.
+	targets map[string]bool
+	members map[netip.AddrPort]bool
+	nodes   map[netip.AddrPort]*nodeBackoff
 	// routes holds the average time at the target by route.
 	routes map[string]time.Duration
 	// usualTimes holds the average time at a target of the usual pace by route.
@@ -200,6 +204,7 @@
 // connection to such a node is lost.
 func (pl *Placer) Pick(targets []Target, re Request, now time.Time) (Choice, bool) {
 	common := commonFailureFactor * pl.commonFailureShare(targets, &re, now)
+	paced := pl.anyPace(targets, re.Route, now)
 	pl.options = pl.options[:0]
 	best := 0
 	for nn := range targets {
@@ -207,7 +212,7 @@
 		if contains(re.Tried, ta.ID) || !pl.usable(ta, &re) {
 			continue
 		}
-		op := pl.evaluate(ta, &re, common, now)
+		op := pl.evaluate(ta, &re, common, paced, now)
 		pl.options = append(pl.options, op)
 		if op.cost < pl.options[best].cost {
 			best = len(pl.options) - 1
@@ -216,7 +221,7 @@
 	if len(pl.options) == 0 {
 		return Choice{}, false
 	}
-	return pl.options[pl.sample(best)].Choice, true
+	return pl.options[pl.sample(best, re.Objective)].Choice, true
 }
 
 func contains(tried []string, id string) bool {
@@ -248,15 +253,15 @@
 }
 
 // evaluate returns the option of sending the request to the target. Failures up to the
-// given share are common to all targets.
+// given share are common to all targets. Paced reports whether the pace of any is known.
 func (pl *Placer) evaluate(
-	ta *Target, re *Request, common float64, now time.Time,
+	ta *Target, re *Request, common float64, paced bool, now time.Time,
 ) option {
-	work := pl.Work(re.Route)
-	wait, used, failures, transfer := time.Duration(0), 0.0, 0.0, time.Duration(0)
+	var work, wait, transfer time.Duration
+	used, failures := 0.0, 0.0
 	age, pace := time.Duration(-1), 0.0
 	if lo := pl.loads[ta.ID]; lo != nil {
-		if at := lo.latestQueue().At; !at.IsZero() {
+		if _, _, at := lo.latestQueue(re.Rank); !at.IsZero() {
 			age = now.Sub(at)
 		}
 		lo.local = ta.DataCentre == re.DataCentre
@@ -269,11 +274,13 @@
 		if ta.Node != re.Self {
 			transfer = lo.transferTime(re.Bytes, wait+work, now)
 		}
+	} else {
+		work = pl.Work(re.Route)
 	}
 	penalty := failurePenalty * failures * float64(max(re.Objective, work))
 	expected := wait + work + transfer + time.Duration(penalty)
 	cost := expected + time.Duration(utilisationPenalty*used*float64(work))
-	if pace > 0 {
+	if paced {
 		cost += time.Duration(fullPenalty * max(used-fullThreshold, 0) * float64(work))
 	}
 	cost += time.Duration(jitter * pl.random.Float64() * float64(work))
@@ -379,8 +386,12 @@
 	}
 }
 
-// MarkUnreachable records that a node could not be reached.
+// MarkUnreachable records that a node could not be reached. A node that has left is
+// ignored, because it would be probed without end.
 func (pl *Placer) MarkUnreachable(node netip.AddrPort, now time.Time) {
+	if pl.hasLeft(node) {
+		return
+	}
 	nb := pl.nodes[node]
 	if nb == nil {
 		nb = &nodeBackoff{}
@@ -419,8 +430,19 @@
 	return !unreachable
 }
 
+// known reports whether news of the target are stored: it was kept, or it has
+// outstanding requests. Otherwise news of targets that have left would be passed on
+// between nodes and stored again and again.
+func (pl *Placer) known(id string) bool {
+	return pl.targets == nil || pl.targets[id] || pl.loads[id] != nil
+}
+
+func (pl *Placer) hasLeft(node netip.AddrPort) bool {
+	return pl.members != nil && !pl.members[node]
+}
+
 // Keep removes the state of all targets and nodes except the given ones. Targets
-// with outstanding requests stay.
+// with outstanding requests stay. The maps must not be changed afterwards.
 func (pl *Placer) Keep(targets map[string]bool, nodes map[netip.AddrPort]bool) {
 	for id, lo := range pl.loads {
 		if !targets[id] && lo.outstanding == 0 {
@@ -433,7 +455,8 @@
 			delete(pl.nodes, node)
 		}
 	}
-	maps.DeleteFunc(pl.centreOf, func(node netip.AddrPort, _ string) bool { return !nodes[node] })
+	pl.keepCentres(nodes)
+	pl.targets, pl.members = targets, nodes
 }
 
 // KeepRoutes removes the averages of all routes except the given ones.
--- a/internal/placer/sample.go
+++ b/internal/placer/sample.go
@@ -31,9 +31,11 @@
 
 // sample returns the index of the option to choose, where best is the one of least cost:
 // the best of sampleSize random ones, or the best of all if there are few. Options that
-// are not preferred are left out if there are preferred ones. A target is drawn with a
-// weight in proportion to its speed.
-func (pl *Placer) sample(best int) int {
+// are not preferred are left out if there are preferred ones, and so are those whose wait
+// exceeds the objective if the best one's does not. A target is drawn with a weight in
+// proportion to its speed.
+func (pl *Placer) sample(best int, objective time.Duration) int {
+	maxWait := max(objective, pl.options[best].Wait)
 	preferred, enough := pl.options[best].preferred, minOther
 	if preferred {
 		enough = minPreferred
@@ -47,6 +49,9 @@
 			continue
 		}
 		eligible++
+		if op.Wait > maxWait {
+			continue
+		}
 		// The options with the smallest keys are a weighted random sample.
 		key := pl.random.ExpFloat64() * float64(max(op.work, 1))
 		if count < sampleSize {
--- a/internal/placer/warning.go
+++ b/internal/placer/warning.go
@@ -45,8 +45,12 @@
 	return all[:min(len(all), maxWarnings)]
 }
 
-// Warn stores a report that another node passed on, unless a newer one is known.
+// Warn stores a report that another node passed on, unless a newer one or no such
+// target is known.
 func (pl *Placer) Warn(wa Warning, now time.Time) {
+	if !pl.known(wa.Target) {
+		return
+	}
 	lo := pl.load(wa.Target)
 	at := now.Add(-max(wa.Age, 0))
 	if lo.reported && !at.After(lo.reportedAt) {
