carrier: mend faults of hedges found in a review

- A hedge started although the first attempt had just ended, if the timer and the end came together.
The end now decides.
- The check for a free slot was made before admission and outside the gate's lock, so that a hedge could wait in the queue, and it hid that the node leaves.
The gate now makes it with the admission.
It also refuses hedges while the target is cold.
- A target without a free slot for a hedge was avoided by ordinary requests too.
- A cancelled attempt lowered the failure share of its target and counted as a quick, good response in the comparison of versions.
It now counts only if it was slow.
- The log gave the winner the pace of the other attempt's target.
- The nodes' server read request bodies without a time limit, so that a client could occupy its connections for ever.
It now has the limit of the clients' server.

TestNoHedgeAfterEnd, TestRefusedHedgeIsNoBackoff, TestCancelledIsNoSuccess and TestNodeBodyTime fail on the earlier code; TestNoHedgeAtColdTarget fails without the check for cold targets. TestHedgeNeverWaits calls the gate, where the check is now.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -158,7 +158,7 @@
 	}
 	ti := &Ticket[T]{Request: re, Value: value, number: qu.lastNumber}
 	ti.graceEnd = graceEnd(re, now)
-	if len(qu.waiting) == 0 && qu.free(now) {
+	if qu.Free(now) {
 		qu.start(ti, now)
 		return ti, Admitted, Change[T]{}
 	}
@@ -176,6 +176,11 @@
 	return ti, Waiting, Change[T]{Refused: qu.evict(now)}
 }
 
+// Free reports whether a request that is offered now would be admitted at once.
+func (qu *Queue[T]) Free(now time.Time) bool {
+	return len(qu.waiting) == 0 && qu.free(now)
+}
+
 // Done releases the slot of an admitted request. If worked is positive, it is a
 // sample of the target's work time.
 func (qu *Queue[T]) Done(ti *Ticket[T], worked time.Duration, now time.Time) Change[T] {
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -301,6 +301,8 @@
 	// overtaken is true if the attempt was late and was cancelled because a second
 	// one had responded.
 	overtaken bool
+	// hedge is true if the attempt was a hedge.
+	hedge bool
 }
 
 func refusal(ki answerer.Kind, detail string, retryAfter time.Duration) *result {
--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -407,16 +407,7 @@
 	} else if remote && rs.report != nil {
 		di.placer.RecordResponse(ta.DataCentre)
 	}
-	if rs.outcome == retrier.NotRun && !rs.reached && rs.kind != answerer.Cancelled {
-		rank := di.rq.rank()
-		if rs.kind != answerer.Overloaded {
-			rank = admitter.Nested // the target refuses requests of every rank
-		}
-		// A full link concerns large responses only; the report tells of it.
-		if !rs.linkFull {
-			di.placer.Avoid(ta.ID, rank, max(rs.retryAfter, minRetryAfter), now)
-		}
-	}
+	di.avoid(ta.ID, rs, now)
 	if rs.linkFull {
 		di.fullLinks = append(di.fullLinks, ta.ID)
 	}
@@ -433,6 +424,24 @@
 	}
 }
 
+// avoid makes the placer avoid a target that refused the request. The caller must hold
+// ca.mu.
+func (di *dispatch) avoid(id string, rs *result, now time.Time) {
+	switch {
+	case rs.outcome != retrier.NotRun, rs.reached, rs.kind == answerer.Cancelled:
+		return
+	case rs.linkFull:
+		return // it concerns large responses only; the report tells of it
+	case rs.hedge && rs.kind == answerer.Overloaded:
+		return // a target without a free slot for a hedge may still queue other requests
+	}
+	rank := di.rq.rank()
+	if rs.kind != answerer.Overloaded {
+		rank = admitter.Nested // the target refuses requests of every rank
+	}
+	di.placer.Avoid(id, rank, max(rs.retryAfter, minRetryAfter), now)
+}
+
 // isFinal reports whether the attempt's result ends the request.
 func (di *dispatch) isFinal(ctx context.Context, rs *result) bool {
 	if ctx.Err() != nil || rs.kind == answerer.Cancelled {
--- a/internal/carrier/gate.go
+++ b/internal/carrier/gate.go
@@ -172,7 +172,8 @@
 }
 
 // admit obtains a slot for the request, waiting if necessary. It returns an
-// admission, which the caller must release, or a refusal.
+// admission, which the caller must release, or a refusal. A hedge that would have to
+// wait, or whose target is cold, is refused.
 func (ga *Gate) admit(
 	ctx context.Context, rq *request, work time.Duration,
 ) (*admission, *result) {
@@ -182,6 +183,13 @@
 		ga.mu.Unlock()
 		return nil, rs
 	}
+	// The first attempt of a hedged request is running, and others need the slot more. A
+	// cold target is slow, and its rate is bounded.
+	if rq.hedge && (ga.queue.Cold(now) || !ga.queue.Free(now)) {
+		wait := ga.queue.Wait(rq.rank(), now)
+		ga.mu.Unlock()
+		return nil, refusal(answerer.Overloaded, "no free slot for a hedge", wait)
+	}
 	wa := &waiter{outcome: make(chan *result, 1)}
 	ti, verdict, change := ga.queue.Offer(rq.forQueue(work), wa, now)
 	ad := &admission{ticket: ti, target: ga.local.Current().ID}
@@ -303,7 +311,9 @@
 	re.Cold = ga.queue.Cold(now)
 	ga.collector.Add(re, now)
 	ga.faultDetected = ga.faultDetected || ga.rolloutActive && ga.collector.ShowsFault()
-	ga.addErrorSample(re.Failed)
+	if !re.Cancelled {
+		ga.addErrorSample(re.Failed)
+	}
 }
 
 // recordShed records that the target refused a request although it had a free
--- a/internal/carrier/hedge.go
+++ b/internal/carrier/hedge.go
@@ -162,12 +162,13 @@
 		co.rq.lease.release()
 	}
 	ra.rq.lease.join(co.rq.lease)
+	co.result.hedge = co.rq.hedge
 	ra.endAttempt(co.target, co.result, co.began)
 }
 
 // win cancels the other attempt and waits for its end, which follows at once.
 func (ra *race) win(winner *concurrent) {
-	ra.rq.target = winner.rq.target
+	ra.rq.target, ra.rq.targetPace = winner.rq.target, winner.rq.targetPace
 	if winner.rq.hedge {
 		ra.metrics.hedgeWon.Inc(1)
 	}
@@ -184,7 +185,8 @@
 // hedge starts a second attempt if the retrier allows it. It returns the time until
 // the next try; zero means never.
 func (ra *race) hedge(ctx context.Context) time.Duration {
-	if ctx.Err() != nil {
+	// If the timer and the end of the first attempt come together, the end decides.
+	if ctx.Err() != nil || len(ra.ended) > 0 {
 		return 0
 	}
 	if vi := ra.Carrier.view.Load(); vi != nil {
--- a/internal/carrier/hedge_test.go
+++ b/internal/carrier/hedge_test.go
@@ -169,12 +169,96 @@
 	rq := requestFor("a")
 	rq.hedge = true
 	for range 2 {
-		_, rs := ca.admitLocal(t.Context(), rq, time.Millisecond)
+		_, rs := ca.gate.admit(t.Context(), rq, time.Millisecond)
 		require.Nil(t, rs)
 	}
-	_, rs := ca.admitLocal(t.Context(), rq, time.Millisecond)
+	_, rs := ca.gate.admit(t.Context(), rq, time.Millisecond)
 	require.NotNil(t, rs)
 	assert.Equal(t, answerer.Overloaded, rs.kind)
+	ca.gate.Drain()
+	_, rs = ca.gate.admit(t.Context(), rq, time.Millisecond)
+	require.NotNil(t, rs)
+	assert.Equal(t, answerer.Draining, rs.kind, "no capacity hides that the node leaves")
+}
+
+// Guards against a hedge that uses part of the bounded rate of a cold target.
+func TestNoHedgeAtColdTarget(t *testing.T) {
+	now := time.Now()
+	ga := NewGate(netip.MustParseAddrPort("127.0.0.1:1"), func() time.Time { return now })
+	ga.SetRules(Rules{ColdRate: 30})
+	ga.Heartbeat(heartbeat("a", 1))
+	ga.Verify("a", time.Minute)
+	now = now.Add(5 * time.Second)
+	ad, rs := admit(ga, "a")
+	require.Nil(t, rs)
+	ga.release(ad, 0)
+	now = now.Add(5 * time.Second) // the rate allows another request
+	rq := requestFor("a")
+	rq.hedge = true
+	_, rs = ga.admit(t.Context(), rq, time.Millisecond)
+	require.NotNil(t, rs)
+	assert.Equal(t, answerer.Overloaded, rs.kind)
+}
+
+// Guards against a second attempt of a request whose first one has just ended.
+func TestNoHedgeAfterEnd(t *testing.T) {
+	di := hedgeCarrier(t, &fakeNode{}, &fakeNode{status: 200})
+	di.assignVersion(time.Now())
+	ra := &race{dispatch: di, ended: make(chan *concurrent, 2), began: di.rq.arrived}
+	ra.ended <- &concurrent{}
+	time.Sleep(90 * time.Millisecond)
+	assert.Zero(t, ra.hedge(t.Context()))
+	assert.Zero(t, di.metrics.hedged.Count())
+}
+
+// Guards against ordinary requests that avoid a target because it had no free slot for
+// a hedge.
+func TestRefusedHedgeIsNoBackoff(t *testing.T) {
+	first := &fakeNode{delay: 110 * time.Millisecond, status: 200}
+	di := hedgeCarrier(t, first, &fakeNode{status: 503, refuses: true})
+	rs := di.run(t.Context())
+	require.Equal(t, retrier.Answered, rs.outcome)
+	require.EqualValues(t, 1, di.metrics.hedged.Count())
+	now := time.Now()
+	rq := di.forPlacer(now)
+	rq.Tried = []string{"ta"}
+	ch, ok := di.placer.Pick(di.candidates(), rq, now)
+	require.True(t, ok)
+	assert.Zero(t, ch.Wait)
+}
+
+// Guards against cancelled attempts that count as good responses and hide the failures
+// of their target.
+func TestCancelledIsNoSuccess(t *testing.T) {
+	ca := New(Config{Now: time.Now}, openGate(), noLog{}, metrics.NewRegistry())
+	ca.gate.errorRate = 0.5
+	lost := &result{outcome: retrier.Unknown, kind: answerer.Cancelled, reached: true}
+	ca.recordOutcome(requestFor("a"), lost, 30*time.Millisecond)
+	assert.InDelta(t, 0.5, ca.gate.load().FailureShare, 1e-9)
+}
+
+// deadlineRecorder records the read deadlines that a handler sets.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	deadlines []time.Time
+}
+
+func (dr *deadlineRecorder) SetReadDeadline(at time.Time) error {
+	dr.deadlines = append(dr.deadlines, at)
+	return nil
+}
+
+// Guards against a client that occupies connections of the nodes' server for ever with
+// request bodies that it never completes.
+func TestNodeBodyTime(t *testing.T) {
+	ca := New(Config{Names: Names{RequestID: "X-Id"}, Now: time.Now}, openGate(), noLog{}, metrics.NewRegistry())
+	dr := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+	r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("body"))
+	r.Header.Set("X-Id", "1")
+	ca.Nodes().ServeHTTP(dr, r)
+	require.Len(t, dr.deadlines, 2)
+	assert.WithinDuration(t, time.Now().Add(bodyTimeout), dr.deadlines[0], time.Second)
+	assert.Zero(t, dr.deadlines[1])
 }
 
 // Guards against a refusal that hides that an earlier attempt may have run.
--- a/internal/carrier/last.go
+++ b/internal/carrier/last.go
@@ -31,7 +31,9 @@
 func (ca *Carrier) serveNode(w http.ResponseWriter, r *http.Request) {
 	now := ca.config.Now()
 	vi := ca.view.Load()
+	stopTimeout := limitBodyTime(w, r, now)
 	rq, err := ca.parse(r, bodyLimit(vi), now)
+	stopTimeout()
 	defer rq.release()
 	if err == nil {
 		err = rq.decodeHop(r.Header.Get(headerHop), now)
@@ -97,7 +99,7 @@
 func (ca *Carrier) runLocal(ctx context.Context, rq *request) *result {
 	work := ca.expectedProcessingTime(rq)
 	began := ca.config.Now()
-	ad, rs := ca.admitLocal(ctx, rq, work)
+	ad, rs := ca.gate.admit(ctx, rq, work)
 	if rs != nil {
 		rs.report = ca.gate.load()
 		ca.metrics.refusedLocally.Inc(1)
@@ -123,20 +125,6 @@
 	return rs
 }
 
-// admitLocal obtains a slot at the local target. A hedge is refused if it would have
-// to wait, because its first attempt is running and others need the slot more.
-func (ca *Carrier) admitLocal(
-	ctx context.Context, rq *request, work time.Duration,
-) (*admission, *result) {
-	if rq.hedge {
-		re := ca.gate.load()
-		if wait := re.Waits[rq.rank()]; wait > 0 || re.Running >= re.Slots {
-			return nil, refusal(answerer.Overloaded, "no free slot for a hedge", wait)
-		}
-	}
-	return ca.gate.admit(ctx, rq, work)
-}
-
 // runTarget sends an admitted request to the target and releases its slot.
 func (ca *Carrier) runTarget(ctx context.Context, rq *request, ad *admission) *result {
 	if rs := ca.gate.recheckAdmission(rq, ad); rs != nil {
@@ -264,6 +252,7 @@
 			})
 		}
 	}
+	re.Cancelled = rs.kind == answerer.Cancelled && rs.outcome == retrier.Unknown
 	ca.gate.recordResponse(re)
 }
 
--- a/internal/stager/collector.go
+++ b/internal/stager/collector.go
@@ -54,6 +54,9 @@
 	Objective time.Duration
 	// Cold reports whether the target was cold and therefore expected to be slow.
 	Cold bool
+	// Cancelled reports whether the first node gave the request up after Took. Only that
+	// it took at least as long counts.
+	Cancelled bool
 }
 
 // bad reports whether the response counts against the version. A response that took
@@ -74,6 +77,21 @@
 	return !re.Failed && !re.Cold && limit > 0 && re.Took >= limit
 }
 
+// tally returns the tally of the response alone.
+func (re *Response) tally(qt *quantile) Tally {
+	ta := Tally{Requests: 1}
+	if re.bad(qt.outlier()) {
+		ta.Bad = 1
+	}
+	if re.Failed {
+		ta.Failed = 1
+	}
+	if re.verySlow(qt.time) {
+		ta.VerySlow = 1
+	}
+	return ta
+}
+
 // quantile estimates the fastQuantile of the response times of a target on a route.
 type quantile struct {
 	// time is the estimate; zero until there are enough samples.
@@ -131,7 +149,8 @@
 }
 
 // Add counts a response. Connections that break at the same time count as one
-// failure, because a target that crashes or is cut off breaks all of them.
+// failure, because a target that crashes or is cut off breaks all of them. A cancelled
+// request counts only if it was slow, because a quick one was not completed.
 func (co *Collector) Add(re Response, now time.Time) {
 	if re.Broken {
 		if now.Sub(co.lastBroken) < crashTime {
@@ -144,17 +163,11 @@
 		qt = &quantile{}
 		co.quantiles[re.Route] = qt
 	}
-	ta := Tally{Requests: 1}
-	if re.bad(qt.outlier()) {
-		ta.Bad = 1
-	}
-	if re.Failed {
-		ta.Failed = 1
-	}
-	if re.verySlow(qt.time) {
-		ta.VerySlow = 1
+	ta := re.tally(qt)
+	if re.Cancelled && ta.Bad+ta.VerySlow == 0 {
+		return
 	}
-	if !re.Failed && !re.Cold && re.Took > 0 {
+	if !re.Failed && !re.Cold && !re.Cancelled && re.Took > 0 {
 		qt.add(re.Took)
 	}
 	number := bucketNumber(now)
--- a/internal/stager/failure_test.go
+++ b/internal/stager/failure_test.go
@@ -195,6 +195,18 @@
 	assert.Equal(t, Tally{Requests: 3, Bad: 3, Failed: 3}, total["r"])
 }
 
+// Guards against cancelled requests that count as good and quick responses, and against
+// a version whose slow requests do not count because their clients give up.
+func TestCancelledCountsIfSlow(t *testing.T) {
+	co := NewCollector()
+	for _, took := range []time.Duration{10, 2000} {
+		co.Add(Response{Route: "r", Objective: 100, Took: took, Cancelled: true}, epoch)
+	}
+	total, _ := co.Tallies(epoch)
+	assert.Equal(t, Tally{Requests: 1, Bad: 1}, total["r"])
+	assert.Empty(t, co.quantiles["r"].first)
+}
+
 // Guards against failures that do not count because the base version has as many
 // outliers, once a node has stopped using the new version and no more responses come.
 func TestBlockedForFailures(t *testing.T) {
