--- a/internal/acceptor/body.go
+++ b/internal/acceptor/body.go
@@ -8,7 +8,7 @@
 	"sync"
 )
 
-// bodyReader is the body of a request. It tells the connection when it has been read.
+// bodyReader is the body of a request. It signals the connection when it has been read.
 type bodyReader struct {
 	exchange       *exchange
 	from           io.ReadCloser
--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -300,7 +300,7 @@
 	if !untried(targets, di.tried) {
 		di.acceptLate()
 	}
-	own := di.gate.news()
+	own := di.gate.targetPace()
 	di.mu.Lock()
 	if own.Pace.Latest > 0 {
 		di.placer.SetPace(own)
--- a/internal/carrier/hedge.go
+++ b/internal/carrier/hedge.go
@@ -109,7 +109,7 @@
 
 // race makes an attempt and, if it is late and the retrier allows it, a second one at
 // another target. It returns the first good result and cancels the other attempt. If
-// both fail, it returns the result that tells most. The delay is the time after which
+// both fail, it returns the most informative result. The delay is the time after which
 // the first attempt may be late.
 func (di *dispatch) race(ctx context.Context, ch placer.Choice, delay time.Duration) *result {
 	ra := &race{dispatch: di, ended: make(chan *concurrent, 2)}
--- a/internal/carrier/pace.go
+++ b/internal/carrier/pace.go
@@ -13,9 +13,9 @@
 	return placer.TargetPace{Target: ga.local.Current().ID, Pace: ga.paces.Pace()}
 }
 
-// news returns the current target, its pace and, if that is known, the state of its
+// targetPace returns the current target, its pace and, if that is known, the state of its
 // queue.
-func (ga *Gate) news() placer.TargetPace {
+func (ga *Gate) targetPace() placer.TargetPace {
 	now := ga.now()
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
--- a/internal/carrier/warning.go
+++ b/internal/carrier/warning.go
@@ -10,7 +10,7 @@
 	"github.com/guavastall/guavastall/internal/placer"
 )
 
-// This file holds what nodes of a data centre tell each other about targets in the
+// This file holds what nodes of a data centre report to each other about targets in the
 // warning header: the loads of degraded targets ("target age load") and the paces of
 // targets ("target pLatest average age queueAge running wait..."), separated by
 // semicolons. Nodes that know no paces skip these entries as malformed and remove the
@@ -23,12 +23,12 @@
 	// has the pace during the request, or zero, in place of the state of the queue,
 	// which is in the load header.
 	respondingTarget = "="
-	// hopTime is added to the age of news that another node passes on, for the time
-	// between the nodes. Without it, news that are passed around would age too slowly.
+	// hopTime is added to the age of updates that another node passes on, for the time
+	// between the nodes. Without it, updates that are passed around would age too slowly.
 	hopTime = 3 * time.Millisecond
-	// maxPaceField bounds the numbers of a pace, and maxNewsAge the ages of news in ms.
+	// maxPaceField bounds the numbers of a pace, and maxUpdateAge the ages of updates in ms.
 	maxPaceField = 100_000
-	maxNewsAge   = 60_000
+	maxUpdateAge = 60_000
 	// responsePaceFields and paceFields are the numbers of fields of a pace in a
 	// response of its target and of one that is passed on.
 	responsePaceFields = 4
@@ -40,18 +40,18 @@
 // requestWarnings returns what the node of the target should know of other targets.
 func (ca *Carrier) requestWarnings(to string) string {
 	now := ca.config.Now()
-	own := ca.gate.news()
+	own := ca.gate.targetPace()
 	var buf [placer.MaxPaces]placer.TargetPace
 	paces := buf[:0]
 	if own.Pace.Known(now) {
 		paces = append(paces, own)
 	}
-	return ca.encodeNews(nil, paces, to, to, now)
+	return ca.encodeUpdates(nil, paces, to, to, now)
 }
 
 // responseWarnings returns what the first node of the request should know: the pace of
 // the local target, and, in the same data centre, the loads and paces of others. A
-// large response arrives late, so that its news would seem newer than they are.
+// large response arrives late, so that its updates would seem newer than they are.
 func (ca *Carrier) responseWarnings(rq *request, rs *result, large bool) string {
 	now := ca.config.Now()
 	var text []byte
@@ -72,15 +72,15 @@
 	if large {
 		paces = nil
 	}
-	return ca.encodeNews(text, paces, rq.target, ca.gate.pace().Target, now)
+	return ca.encodeUpdates(text, paces, rq.target, ca.gate.pace().Target, now)
 }
 
-// encodeNews appends the loads of degraded targets and the newest paces to the text.
+// encodeUpdates appends the loads of degraded targets and the newest paces to the text.
 // The local target's load is sent along with requests for other targets too, because a
 // slow target's own responses arrive late. The load of the target exceptLoad and the
 // pace of the target exceptPace are known at the other node. No other paces are added
 // if paces is nil.
-func (ca *Carrier) encodeNews(
+func (ca *Carrier) encodeUpdates(
 	text []byte, paces []placer.TargetPace, exceptLoad, exceptPace string, now time.Time,
 ) string {
 	target, own := ca.gate.degradedLoad()
@@ -136,7 +136,7 @@
 
 // appendQueue appends the state of a queue, with its age at the given time.
 func appendQueue(text []byte, qs *placer.QueueState, now time.Time) []byte {
-	age := min(max(now.Sub(qs.At).Milliseconds(), 0), maxNewsAge)
+	age := min(max(now.Sub(qs.At).Milliseconds(), 0), maxUpdateAge)
 	text = appendField(appendField(text, age), int64(qs.Running))
 	for _, wait := range qs.Waits {
 		text = appendField(text, min(wait.Milliseconds(), maxPaceField))
@@ -207,7 +207,7 @@
 		want = responsePaceFields
 	}
 	if count != want || target == "" || values[0] == 0 || values[1] == 0 ||
-		values[2] > maxNewsAge {
+		values[2] > maxUpdateAge {
 		return tp, 0, false
 	}
 	at := func(age int) time.Time {
@@ -232,7 +232,7 @@
 	ageText, load, _ := strings.Cut(text, " ")
 	age, err := strconv.Atoi(ageText)
 	re := decodeLoad(load)
-	if err != nil || age < 0 || age > maxNewsAge || re == nil || target == "" {
+	if err != nil || age < 0 || age > maxUpdateAge || re == nil || target == "" {
 		return placer.Warning{}, false
 	}
 	return placer.Warning{
--- a/internal/placer/bound_test.go
+++ b/internal/placer/bound_test.go
@@ -49,7 +49,7 @@
 	assert.Len(t, pl.ProbesDue(now), 1)
 }
 
-// Guards against news that bring back the state of targets that have left, or of ones
+// Guards against updates that bring back the state of targets that have left, or of ones
 // that never existed: it would grow without bound and be passed on.
 func TestNewsOfUnknownTargets(t *testing.T) {
 	now, pl := epoch, newPlacer()
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -430,8 +430,8 @@
 	return !unreachable
 }
 
-// known reports whether news of the target are stored: it was kept, or it has
-// outstanding requests. Otherwise news of targets that have left would be passed on
+// known reports whether updates of the target are stored: it was kept, or it has
+// outstanding requests. Otherwise updates of targets that have left would be passed on
 // between nodes and stored again and again.
 func (pl *Placer) known(id string) bool {
 	return pl.targets == nil || pl.targets[id] || pl.loads[id] != nil
