meshrunner: do not roll a completed rollout back

A leader read the end of the mesh topic after it had collected evidence and used it as the condition of its append. The end is now read before the state.

TestDecisionOnEarlierStateIsDropped failed before.

--- a/internal/meshrunner/promote.go
+++ b/internal/meshrunner/promote.go
@@ -125,11 +125,17 @@
 	ctx context.Context, or stager.Order, reported map[string]stager.Move,
 ) error {
 	for range maxAppendAttempts {
+		// The decision takes a while, because it asks other nodes. The append must fail
+		// if the rollout's state changes meanwhile, so its condition is the end of the
+		// topic as of the state that the decision is based on.
+		end, _ := ru.mesh.End()
+		if !ru.moveIsCurrent(or.Service) {
+			return nil // the replica is being applied
+		}
 		mo, changed := ru.nextMove(ctx, or)
 		if !changed {
 			return ru.reportRollout(ctx, mo, reported)
 		}
-		end, _ := ru.mesh.End()
 		value, err := json.Marshal(mo)
 		if err != nil {
 			return err
@@ -150,6 +156,19 @@
 	return nil
 }
 
+// moveIsCurrent reports whether the known state of the service's rollout is that of the
+// replica of the mesh's topic, whose records are applied after its end has advanced.
+func (ru *Runner) moveIsCurrent(service string) bool {
+	rc, present := ru.mesh.Get(movePrefix + service)
+	ru.mu.Lock()
+	defer ru.mu.Unlock()
+	if mo, known := ru.moves[service]; known || !present {
+		return !present || mo.offset == rc.Offset
+	}
+	_, err := stager.DecodeMove(rc.Value)
+	return err != nil // a record of another writer, which is ignored
+}
+
 // nextMove returns the state that a rollout should have, and whether the store
 // holds a different one.
 func (ru *Runner) nextMove(ctx context.Context, or stager.Order) (stager.Move, bool) {
