One mechanism each for connections, reachability and paces

Reading the whole change once more as a newcomer: - acceptor bounded connections and evicted them by rules of its own beside connlimiter; it now reports its requests to connlimiter, which bounds all servers of both roles, and forwarder does so by the same functions. - placer recorded one failure by two calls and derived data centres of nodes in a map of its own; MarkUnreachable takes the data centre, and a data centre that is cut off is probed like any unreachable node. - The time constant of the pace was worked out from a customer's figures; it now follows from what targets say of the figure. - Paces are collected from the targets that have one, not from all loads, and a late request does not ask the placer while its service is overloaded. - One table of hop flags, one way to match a request's route.

No check is loosened: evicted and refused connections are counted and checked apart as before.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -5,10 +5,12 @@
 // request does not keep the node from reading those behind it, and their responses are
 // written in the order of the requests.
 //
-// What clients can make a [Server] hold is bounded: the number of connections, the
-// size of a request's head, the memory for the heads of all requests, the pipelined
-// requests of a connection, and the times to send a head and to read a response.
-// Clients that exceed a bound are refused or disconnected; the others are served.
+// What clients can make a [Server] hold is bounded: the size of a request's head, the
+// memory for the heads of all requests, the pipelined requests of a connection, and the
+// times to send a head and to read a response. Clients that exceed a bound are refused or
+// disconnected; the others are served. Connections, and heads that are never finished, are
+// bounded by a listener of package connlimiter, to which the server reports the requests
+// on its connections.
 //
 // Messages are parsed by [http.ReadRequest].
 package acceptor
@@ -32,8 +34,6 @@
 	// twice: if an earlier response closes the connection, the client sends them
 	// again.
 	Concurrent func(*http.Request) bool
-	// MaxConns bounds the open connections; zero stands for no bound.
-	MaxConns int
 	// MaxPipelined bounds the unanswered requests of a connection.
 	MaxPipelined int
 	// MaxHeadBytes bounds the request line and the header of a request.
@@ -77,16 +77,10 @@
 		config: cf, handler: handler, conns: map[*conn]struct{}{},
 		empty: make(chan struct{}), memory: headMemory{limit: cf.HeadMemory},
 	}
-	sv.events = newEvents(cf.Log, cf.Metrics, cf.Now, sv.connCount)
+	sv.events = newEvents(cf.Log, cf.Metrics, cf.Now)
 	return sv
 }
 
-func (sv *Server) connCount() int64 {
-	sv.mu.Lock()
-	defer sv.mu.Unlock()
-	return int64(len(sv.conns))
-}
-
 const (
 	// minAcceptDelay and maxAcceptDelay bound the pause after a failure to accept a
 	// connection; it doubles with each failure in a row.
@@ -115,7 +109,6 @@
 			return err
 		}
 		sv.events.record(acceptFailed)
-		sv.evict()
 		delay = min(max(2*delay, minAcceptDelay), maxAcceptDelay)
 		select {
 		case <-ctx.Done():
@@ -124,14 +117,8 @@
 	}
 }
 
-// start serves a new connection. If there are too many, it first closes one that has
-// no request in flight; if there is none, it closes the new one.
+// start serves a new connection.
 func (sv *Server) start(nc net.Conn) {
-	if sv.config.MaxConns > 0 && sv.connCount() >= int64(sv.config.MaxConns) && !sv.evict() {
-		sv.events.record(connRefused)
-		_ = nc.Close()
-		return
-	}
 	co := newConn(sv, nc)
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
@@ -139,77 +126,6 @@
 	go co.serve()
 }
 
-// evict closes the connection that a client needs least and reports whether there was
-// one: of those without a request in flight the one that has not completed a head for
-// longest.
-func (sv *Server) evict() bool {
-	now := sv.config.Now()
-	evicted := sv.evictBy(func(co *conn) (int64, bool) {
-		since, ok := co.evictable()
-		return int64(now.Sub(since)), ok
-	})
-	if evicted {
-		sv.events.record(connEvicted)
-	}
-	return evicted
-}
-
-// evictBy closes the connection with the highest rank, of those without a request in
-// flight, and reports whether there was one.
-func (sv *Server) evictBy(rank func(*conn) (int64, bool)) bool {
-	sv.mu.Lock()
-	var victim *conn
-	var highest int64
-	for co := range sv.conns {
-		if ra, ok := rank(co); ok && (victim == nil || ra > highest) {
-			victim, highest = co, ra
-		}
-	}
-	claimed := victim != nil && victim.claim()
-	if claimed {
-		sv.removeLocked(victim)
-	}
-	sv.mu.Unlock()
-	switch {
-	case victim == nil:
-		return false
-	case !claimed:
-		return sv.evictBy(rank) // a request has arrived meanwhile
-	}
-	sv.memory.release(victim.head.held.Swap(0))
-	victim.abort()
-	return true
-}
-
-// maxHeadEvictions bounds the connections that are closed to make room for a part of a
-// head.
-const maxHeadEvictions = 4
-
-// takeHeadMemory takes memory for a head of the connection. If there is none left, it
-// closes connections with longer incomplete heads, so that clients that hold the memory
-// do not keep the others from being served.
-func (sv *Server) takeHeadMemory(taker *conn, size int64) bool {
-	for range maxHeadEvictions {
-		if sv.memory.take(size) {
-			return true
-		}
-		least := taker.head.held.Load() + size
-		evicted := sv.evictBy(func(co *conn) (int64, bool) {
-			held := co.head.held.Load()
-			if co == taker || held <= least {
-				return 0, false
-			}
-			_, ok := co.evictable()
-			return held, ok
-		})
-		if !evicted {
-			return false
-		}
-		sv.events.record(headMemoryFull)
-	}
-	return sv.memory.take(size)
-}
-
 // remove forgets a connection that has ended.
 func (sv *Server) remove(co *conn) {
 	sv.mu.Lock()
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -14,6 +14,8 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/guavastall/guavastall/internal/connlimiter"
 )
 
 // generous bounds what a test waits for; no test depends on the machine's speed.
@@ -32,6 +34,14 @@
 // start serves the handler until the end of the test. Requests may run concurrently
 // unless their path begins with /once.
 func start(t *testing.T, handler http.HandlerFunc, change func(*Config)) *fixture {
+	t.Helper()
+	return startLimited(t, handler, change, 100, 1<<30)
+}
+
+// startLimited is like start, with bounds on connections and unfinished heads.
+func startLimited(
+	t *testing.T, handler http.HandlerFunc, change func(*Config), maxConns int, maxHeads int64,
+) *fixture {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -47,6 +57,10 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
+	listener = connlimiter.New(listener, connlimiter.Config{
+		Name: "clients", MaxConns: maxConns, MaxHeadMemory: maxHeads, Log: log,
+		Metrics: cf.Metrics, Now: time.Now,
+	})
 	fi := &fixture{
 		Server: New(cf, handler), t: t, address: listener.Addr().String(), stop: cancel,
 		ended: make(chan error, 1),
@@ -66,6 +80,17 @@
 
 func (fi *fixture) counted(what event) int64 { return fi.events.counters[what].Count() }
 
+// limited returns a counter of the listener.
+func (fi *fixture) limited(name string) int64 {
+	return metrics.GetOrRegisterCounter("clients."+name, fi.config.Metrics).Count()
+}
+
+func (fi *fixture) connCount() int {
+	fi.mu.Lock()
+	defer fi.mu.Unlock()
+	return len(fi.conns)
+}
+
 // client is a connection to the server.
 type client struct {
 	net.Conn
@@ -142,13 +167,13 @@
 // is closed, none with a request in flight is, and a new one is refused otherwise.
 func TestTooManyConnections(t *testing.T) {
 	started, finish := make(chan string, 2), make(chan struct{})
-	fi := start(t, func(w http.ResponseWriter, r *http.Request) {
+	fi := startLimited(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/slow" {
 			started <- r.URL.Path
 			<-finish
 		}
 		echo(w, r)
-	}, func(cf *Config) { cf.MaxConns = 2 })
+	}, nil, 2, 1<<30)
 	busy := fi.dial()
 	busy.get("/slow")
 	wait(t, started)
@@ -160,8 +185,9 @@
 	wait(t, started)
 	idle.closed()
 	fi.dial().closed()
-	assert.Equal(t, int64(1), fi.counted(connEvicted))
-	assert.Equal(t, int64(1), fi.counted(connRefused))
+	refused := fi.limited("refusedConnections")
+	assert.Equal(t, int64(1), fi.limited("closedConnections")-refused, "evicted")
+	assert.Equal(t, int64(1), refused)
 	close(finish)
 	busy.answer("/slow")
 	second.answer("/slow")
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -41,10 +41,8 @@
 	started int
 	// awaiting is true while no byte of the next request has been read.
 	awaiting bool
-	// lastHead is when the last head was complete, or when the connection began, and
-	// heads the number of heads.
-	lastHead time.Time
-	heads    int
+	// heads is the number of heads that were complete.
+	heads int
 	// stopping is true if the connection is to be closed after the response to the
 	// last request that has started, and closing if that response has been chosen or
 	// none is due. No further request is accepted then.
@@ -57,9 +55,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	co := &conn{
 		server: sv, Conn: nc, ctx: ctx, cancel: cancel,
-		answered: make(chan struct{}, 1), lastHead: sv.config.Now(),
+		answered: make(chan struct{}, 1), head: headReader{conn: nc, memory: &sv.memory},
 	}
-	co.head = headReader{conn: nc, memory: &sv.memory, take: co.takeHeadMemory}
 	co.reader = bufio.NewReaderSize(&co.head, readBufferBytes)
 	return co
 }
@@ -116,26 +113,6 @@
 	}
 }
 
-// evictable reports whether the connection has no request in flight, and since when it
-// has not completed a head.
-func (co *conn) evictable() (time.Time, bool) {
-	co.mu.Lock()
-	defer co.mu.Unlock()
-	return co.lastHead, len(co.queue) == 0
-}
-
-// claim makes the connection refuse further requests and reports whether none is in
-// flight.
-func (co *conn) claim() bool {
-	co.mu.Lock()
-	defer co.mu.Unlock()
-	if len(co.queue) > 0 {
-		return false
-	}
-	co.closing = true
-	return true
-}
-
 // stop makes the connection close after its last response and reports whether it is
 // idle, so that it can be closed at once. A connection that has had no request yet may
 // have one.
@@ -159,7 +136,7 @@
 	rq, err := co.readHead()
 	held := co.endHead()
 	_ = co.SetReadDeadline(time.Time{})
-	if err == nil && !co.takeHeadMemory(requestOverheadBytes) {
+	if err == nil && !co.server.memory.take(requestOverheadBytes) {
 		err = errHeadMemory
 	} else if err == nil {
 		held += requestOverheadBytes
@@ -177,10 +154,6 @@
 	return ex.awaitBody() && !ex.last
 }
 
-func (co *conn) takeHeadMemory(size int64) bool {
-	return co.server.takeHeadMemory(co, size)
-}
-
 // endHead returns the memory that is held for the head that has been read.
 func (co *conn) endHead() int64 {
 	rest, _ := co.reader.Peek(co.reader.Buffered())
--- a/internal/acceptor/events.go
+++ b/internal/acceptor/events.go
@@ -12,9 +12,7 @@
 type event int
 
 const (
-	connEvicted event = iota
-	connRefused
-	acceptFailed
+	acceptFailed event = iota
 	headTooLong
 	headMemoryFull
 	headTimedOut
@@ -26,8 +24,8 @@
 
 // eventNames are the names of the events in metrics and logs.
 var eventNames = [eventCount]string{
-	"closedEvicted", "closedTooMany", "acceptFailed", "closedHeadTooLong", "closedHeadMemory",
-	"closedHeadTimeout", "closedMalformed", "closedNotRead", "pipelined",
+	"acceptFailed", "closedHeadTooLong", "closedHeadMemory", "closedHeadTimeout",
+	"closedMalformed", "closedNotRead", "pipelined",
 }
 
 // logInterval is the minimum time between two log lines of one event, because clients
@@ -45,14 +43,11 @@
 	skipped [eventCount]int
 }
 
-func newEvents(
-	log *logrus.Logger, registry metrics.Registry, now func() time.Time, conns func() int64,
-) *events {
+func newEvents(log *logrus.Logger, registry metrics.Registry, now func() time.Time) *events {
 	ev := &events{log: log, now: now}
 	for nn := range ev.counters {
 		ev.counters[nn] = metrics.GetOrRegisterCounter("clients."+eventNames[nn], registry)
 	}
-	metrics.NewRegisteredFunctionalGauge("clients.connections", registry, conns)
 	return ev
 }
 
--- a/internal/acceptor/example_test.go
+++ b/internal/acceptor/example_test.go
@@ -18,8 +18,8 @@
 		_, _ = fmt.Fprint(w, "served ", r.URL.Path)
 	})
 	server := acceptor.New(acceptor.Config{
-		Concurrent: func(r *http.Request) bool { return r.Method == http.MethodGet },
-		MaxConns:   100, MaxPipelined: 8, MaxHeadBytes: 16 << 10, HeadMemory: 1 << 20,
+		Concurrent:   func(r *http.Request) bool { return r.Method == http.MethodGet },
+		MaxPipelined: 8, MaxHeadBytes: 16 << 10, HeadMemory: 1 << 20,
 		HeadTimeout: time.Second, IdleTimeout: time.Minute, WriteTimeout: time.Second,
 		StopTimeout: time.Second, Log: logrus.New(), Metrics: metrics.NewRegistry(),
 		Now: time.Now,
--- a/internal/acceptor/head.go
+++ b/internal/acceptor/head.go
@@ -50,21 +50,18 @@
 func (hm *headMemory) release(size int64) { hm.used.Add(-size) }
 
 // headReader reads from a connection. While a head is read, it counts the bytes against
-// the limit of a head and takes memory for them. It is used by one goroutine at a time,
-// except for held.
+// the limit of a head and takes memory for them. It is used by one goroutine at a time.
 type headReader struct {
 	conn    net.Conn
 	memory  *headMemory
-	take    func(size int64) bool
 	limited bool
 	// err is the error that ended the head. A later read must not continue behind it:
 	// http.ReadRequest takes the part of a line before an error for a line.
 	err error
 	// left is the number of bytes that the head may still have.
 	left int
-	// held is the memory taken for the current head. The server takes it back when it
-	// evicts the connection.
-	held atomic.Int64
+	// held is the memory taken for the current head.
+	held int64
 }
 
 // Read implements [io.Reader].
@@ -90,10 +87,10 @@
 func (hr *headReader) count(data []byte) error {
 	hr.left -= len(data)
 	size := headCost(data)
-	if !hr.take(size) {
+	if !hr.memory.take(size) {
 		return errHeadMemory
 	}
-	hr.held.Add(size)
+	hr.held += size
 	return nil
 }
 
@@ -117,7 +114,8 @@
 		return 0
 	}
 	hr.limited = false
-	held := hr.held.Swap(0)
+	held := hr.held
+	hr.held = 0
 	excess := min(headCost(rest), held)
 	hr.memory.release(excess)
 	return held - excess
--- a/internal/acceptor/message_test.go
+++ b/internal/acceptor/message_test.go
@@ -168,12 +168,12 @@
 // Guards against incomplete heads that take all memory, so that ordinary requests are
 // refused.
 func TestHeadMemoryIsFreed(t *testing.T) {
-	fi := start(t, echo, func(cf *Config) { cf.HeadMemory = 32 << 10 })
+	fi := startLimited(t, echo, func(cf *Config) { cf.HeadMemory = 32 << 10 }, 100, 100<<10)
 	hostile := []*client{fi.dial(), fi.dial()}
 	for _, cl := range hostile {
 		cl.send("GET / HTTP/1.1\r\nA: " + strings.Repeat("x", 14<<10))
 	}
-	require.Eventually(t, func() bool { return fi.memory.used.Load() > 28<<10 },
+	require.Eventually(t, func() bool { return fi.limited("closedHeads") == 1 },
 		generous, time.Millisecond)
 	cl := fi.dial()
 	cl.get("/ordinary")
@@ -182,5 +182,6 @@
 		_ = other.Close()
 	}
 	fi.released()
-	assert.Equal(t, int64(1), fi.counted(headMemoryFull))
+	assert.Equal(t, int64(1), fi.limited("closedHeads"))
+	assert.Zero(t, fi.counted(headMemoryFull), "nobody is refused")
 }
--- a/internal/acceptor/queue.go
+++ b/internal/acceptor/queue.go
@@ -1,16 +1,19 @@
 package acceptor
 
+import "github.com/guavastall/guavastall/internal/connlimiter"
+
 // enqueue adds a request to the queue and starts it if it may run now. It returns false
 // if the connection accepts no further request; the client sends it again.
 func (co *conn) enqueue(ex *exchange) bool {
 	ex.concurrent = ex.mayRunConcurrently()
-	now := co.server.config.Now()
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	if co.closing || co.ctx.Err() != nil || co.stopping && len(co.queue) > 0 {
 		return false
 	}
-	co.lastHead = now
+	if len(co.queue) == 0 && !connlimiter.BeginRequest(co.Conn) {
+		return false
+	}
 	co.heads++
 	co.queue = append(co.queue, ex)
 	if len(co.queue) > 1 && ex.rejection == 0 {
@@ -67,6 +70,9 @@
 		}
 		co.startLocked()
 	}
+	if len(co.queue) == 0 {
+		connlimiter.EndRequest(co.Conn)
+	}
 }
 
 // endLocked ends the connection after its last response. The caller must hold co.mu.
--- a/internal/admitter/announced.go
+++ b/internal/admitter/announced.go
@@ -7,11 +7,11 @@
 
 const (
 	// paceTimeConstant is the time constant with which the expected pace approaches
-	// the average. Disturbances of a target's machine last about 0.7 s and begin about
-	// every 3.5 s, so that the correlation of the pace decays with 1/(1/0.7+1/3.5) s.
-	paceTimeConstant = 580 * time.Millisecond
-	// paceWindow is the time constant of the average pace. It spans several
-	// disturbances.
+	// the average. The pace of a target may change several times a second, so that the
+	// latest one tells little about the time half a second later.
+	paceTimeConstant = 500 * time.Millisecond
+	// paceWindow is the time constant of the average pace. It is long against the
+	// changes of the latest one.
 	paceWindow = 20 * time.Second
 	// maxPaceGap bounds the time for which one announcement counts in the average,
 	// because an idle target announces nothing.
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -227,7 +227,7 @@
 		ca.placer.MarkReachable(node)
 		return
 	}
-	ca.placer.MarkUnreachable(node, ca.config.Now())
+	ca.placer.MarkProbed(node, ca.config.Now())
 }
 
 // Drain starts the shutdown of the node, whose process ends at the given time: the
--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -63,8 +63,7 @@
 	if vi == nil {
 		return false
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	route := vi.Config.Match(hostName(r.Host), path)
+	route := vi.match(r.Host, r.RequestURI)
 	return route != nil && route.Kind == matcher.Idempotent
 }
 
@@ -96,7 +95,7 @@
 		ca.respond(w, rq, vi, rs)
 		return
 	}
-	rq.route = vi.Config.Match(hostName(rq.host), rq.path())
+	rq.route = vi.match(rq.host, rq.uri)
 	if rq.route == nil {
 		ca.respond(w, rq, vi, refusal(answerer.NoRoute, "no route matches the host and path", 0))
 		return
@@ -135,10 +134,10 @@
 	return nil
 }
 
-// path returns the path of the request without its query.
-func (rq *request) path() string {
-	path, _, _ := strings.Cut(rq.uri, "?")
-	return path
+// match returns the route of a request, or nil.
+func (vi *View) match(host, uri string) *matcher.Route {
+	path, _, _ := strings.Cut(uri, "?")
+	return vi.Config.Match(hostName(host), path)
 }
 
 func bodyLimit(vi *View) int64 {
@@ -401,7 +400,11 @@
 	di.mu.Lock()
 	defer di.mu.Unlock()
 	di.placer.End(ta.ID, di.rq.route.Name, rs.report, now)
-	di.recordReachability(ta, rs, now)
+	if rs.nodeFailed {
+		di.placer.MarkUnreachable(ta.Node, ta.DataCentre, now)
+	} else if rs.report != nil {
+		di.placer.RecordResponse(ta.DataCentre)
+	}
 	di.avoid(ta.ID, rs, now)
 	if rs.linkFull {
 		di.fullLinks = append(di.fullLinks, ta.ID)
@@ -419,20 +422,6 @@
 	}
 }
 
-// recordReachability records what an attempt showed about the target's node and its data
-// centre. The caller must hold ca.mu.
-func (di *dispatch) recordReachability(ta placer.Target, rs *result, now time.Time) {
-	remote := ta.DataCentre != di.config.DataCentre
-	if rs.nodeFailed {
-		di.placer.MarkUnreachable(ta.Node, now)
-		if remote {
-			di.placer.RecordFailure(ta.DataCentre, ta.Node, now)
-		}
-	} else if remote && rs.report != nil {
-		di.placer.RecordResponse(ta.DataCentre)
-	}
-}
-
 // avoid makes the placer avoid a target that refused the request. The caller must hold
 // ca.mu.
 func (di *dispatch) avoid(id string, rs *result, now time.Time) {
--- a/internal/carrier/hedge.go
+++ b/internal/carrier/hedge.go
@@ -205,14 +205,16 @@
 		return 0
 	}
 	la := ra.late(&he.times, ra.began, now)
-	rq := ra.forPlacer(now)
-	ch, ok := ra.placer.Pick(targets, rq, now)
-	if ok {
-		ou := ra.placer.Outlook(ch, rq, now)
-		la.Second = time.Duration(ou.Slowdown*float64(la.Second)) + ou.Transfer
-		la.Free = ou.Free
-	}
-	la.Free = la.Free && ok && now.Sub(he.refusedAt) >= overloadPause
+	la.Free = false
+	var ch placer.Choice
+	if now.Sub(he.refusedAt) >= overloadPause {
+		rq := ra.forPlacer(now)
+		if ch, la.Free = ra.placer.Pick(targets, rq, now); la.Free {
+			ou := ra.placer.Outlook(ch, rq, now)
+			la.Second = time.Duration(ou.Slowdown*float64(la.Second)) + ou.Transfer
+			la.Free = ou.Free
+		}
+	}
 	re := budgeter.Retry{
 		Nodes: len(ra.view.Nodes), Calls: -1, LastAttempt: ra.rq.returning, Hedge: true,
 	}
--- a/internal/carrier/last.go
+++ b/internal/carrier/last.go
@@ -49,7 +49,7 @@
 		ca.writeNodeResponse(r.Context(), w, rq.id, rs, nil)
 		return
 	}
-	rq.route = vi.Config.Match(hostName(rq.host), rq.path())
+	rq.route = vi.match(rq.host, rq.uri)
 	ca.applyWarnings(r.Header, now)
 	ca.runForNode(w, r, rq)
 }
--- a/internal/carrier/pace.go
+++ b/internal/carrier/pace.go
@@ -16,14 +16,9 @@
 // targetPace returns the current target, its pace and, if that is known, the state of its
 // queue.
 func (ga *Gate) targetPace() placer.TargetPace {
-	now := ga.now()
-	ga.mu.Lock()
-	defer ga.mu.Unlock()
-	tp := placer.TargetPace{Target: ga.local.Current().ID, Pace: ga.paces.Pace()}
+	tp := ga.pace()
 	if tp.Pace.Latest > 0 {
-		tp.Queue = placer.QueueState{
-			Running: ga.queue.Running(), Waits: ga.queue.Waits(now), At: now,
-		}
+		tp.Queue = ga.load().Queue(ga.now())
 	}
 	return tp
 }
--- a/internal/carrier/request.go
+++ b/internal/carrier/request.go
@@ -189,32 +189,35 @@
 	return host
 }
 
+// hopFlag is a property of a request that the hop header tells.
+type hopFlag struct {
+	flag byte
+	set  *bool
+}
+
+func (rq *request) hopFlags() [6]hopFlag {
+	return [...]hopFlag{
+		{flagInner, &rq.inner}, {flagReturning, &rq.returning}, {flagRepeat, &rq.repeat},
+		{flagSameDataCentre, &rq.sameDataCentre}, {flagAcceptLate, &rq.acceptLate},
+		{flagHedge, &rq.hedge},
+	}
+}
+
 // encodeHop encodes the hop header of a request to another node.
 func (rq *request) encodeHop(target string, now time.Time) string {
 	text := make([]byte, 0, 48)
 	text = append(text, target...)
 	text = append(text, ' ')
 	text = strconv.AppendInt(text, rq.objective.Sub(now).Milliseconds(), 10)
-	if rq.inner || rq.returning || rq.repeat || rq.sameDataCentre || rq.acceptLate || rq.hedge {
-		text = append(text, ' ')
-	}
-	if rq.inner {
-		text = append(text, flagInner)
-	}
-	if rq.returning {
-		text = append(text, flagReturning)
-	}
-	if rq.repeat {
-		text = append(text, flagRepeat)
-	}
-	if rq.sameDataCentre {
-		text = append(text, flagSameDataCentre)
-	}
-	if rq.acceptLate {
-		text = append(text, flagAcceptLate)
-	}
-	if rq.hedge {
-		text = append(text, flagHedge)
+	separator := true
+	for _, hf := range rq.hopFlags() {
+		if !*hf.set {
+			continue
+		}
+		if separator {
+			text, separator = append(text, ' '), false
+		}
+		text = append(text, hf.flag)
 	}
 	return string(text)
 }
@@ -232,12 +235,9 @@
 	rq.target = parts[0]
 	rq.objective = now.Add(time.Duration(left) * time.Millisecond)
 	if len(parts) == 3 {
-		rq.inner = strings.IndexByte(parts[2], flagInner) >= 0
-		rq.returning = strings.IndexByte(parts[2], flagReturning) >= 0
-		rq.repeat = strings.IndexByte(parts[2], flagRepeat) >= 0
-		rq.sameDataCentre = strings.IndexByte(parts[2], flagSameDataCentre) >= 0
-		rq.acceptLate = strings.IndexByte(parts[2], flagAcceptLate) >= 0
-		rq.hedge = strings.IndexByte(parts[2], flagHedge) >= 0
+		for _, hf := range rq.hopFlags() {
+			*hf.set = strings.IndexByte(parts[2], hf.flag) >= 0
+		}
 	}
 	return nil
 }
--- a/internal/carrier/warning.go
+++ b/internal/carrier/warning.go
@@ -33,8 +33,8 @@
 	// response of its target and of one that is passed on.
 	responsePaceFields = 4
 	paceFields         = 5 + int(admitter.Ranks)
-	// typicalNewsBytes is enough for most warning headers.
-	typicalNewsBytes = 400
+	// typicalUpdateBytes is enough for most warning headers.
+	typicalUpdateBytes = 400
 )
 
 // requestWarnings returns what the node of the target should know of other targets.
@@ -60,7 +60,7 @@
 		if large && rs.response != nil {
 			delay = ca.egress.report().TransferTime(len(rs.response.body))
 		}
-		text = make([]byte, 0, typicalNewsBytes)
+		text = make([]byte, 0, typicalUpdateBytes)
 		text = appendPace(text, respondingTarget, &rs.report.Pace, now.Add(delay))
 		text = appendField(text, hundredths(rs.report.RunPace))
 	}
@@ -94,7 +94,7 @@
 		paces = ca.placer.Paces(paces, exceptPace, now)
 	}
 	if len(paces) > 0 && cap(text) == 0 {
-		text = make([]byte, 0, typicalNewsBytes)
+		text = make([]byte, 0, typicalUpdateBytes)
 	}
 	for nn := range paces {
 		if len(text) > 0 {
--- a/internal/connlimiter/connlimiter.go
+++ b/internal/connlimiter/connlimiter.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"container/list"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -47,8 +48,10 @@
 // only such, it closes the new one.
 type Listener struct {
 	net.Listener
-	config                   Config
-	closedConns, closedHeads metrics.Counter
+	config Config
+	// closedConns counts the connections closed at the bound, and refusedConns those of
+	// them that were new ones.
+	closedConns, refusedConns, closedHeads metrics.Counter
 
 	mu    sync.Mutex
 	conns int
@@ -67,6 +70,8 @@
 		Listener: ln, config: cf, fresh: list.New(), idle: list.New(), heads: list.New(),
 		closedConns: metrics.GetOrRegisterCounter(cf.Name+".closedConnections", cf.Metrics),
 		closedHeads: metrics.GetOrRegisterCounter(cf.Name+".closedHeads", cf.Metrics),
+		refusedConns: metrics.GetOrRegisterCounter(
+			cf.Name+".refusedConnections", cf.Metrics),
 	}
 	// Registering fails only if another listener has the same name.
 	_ = cf.Metrics.Register(cf.Name+".connections", metrics.NewFunctionalGauge(li.count))
@@ -79,11 +84,15 @@
 	return int64(li.conns)
 }
 
-// Accept implements [net.Listener]. The connections are of type *[Conn].
+// Accept implements [net.Listener]. The connections are of type *[Conn]. If it fails,
+// for example for lack of a descriptor, it closes a connection to make room.
 func (li *Listener) Accept() (net.Conn, error) {
 	for {
 		nc, err := li.Listener.Accept()
 		if err != nil {
+			if !errors.Is(err, net.ErrClosed) {
+				li.makeRoom(li.config.Now())
+			}
 			return nil, err
 		}
 		if co := li.admit(nc, li.config.Now()); co != nil {
@@ -100,15 +109,11 @@
 	if li.conns >= li.config.MaxConns {
 		li.closedConns.Inc(1)
 		li.report("too many connections", now)
-		victim := li.fresh.Front()
-		if victim == nil {
-			victim = li.idle.Front()
-		}
-		if victim == nil {
+		if !li.evictWaiting() {
+			li.refusedConns.Inc(1)
 			_ = nc.Close()
 			return nil
 		}
-		li.evict(victim.Value.(*Conn))
 	}
 	co := &Conn{Conn: nc, listener: li}
 	co.waiting, co.waitingIn = li.fresh.PushBack(co), li.fresh
@@ -116,6 +121,30 @@
 	return co
 }
 
+// makeRoom closes a connection that has no request in flight, if there is one.
+func (li *Listener) makeRoom(now time.Time) {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	if li.evictWaiting() {
+		li.closedConns.Inc(1)
+		li.report("no connection can be accepted", now)
+	}
+}
+
+// evictWaiting closes the connection that has waited for longest for a request and
+// reports whether there was one. The caller must hold li.mu.
+func (li *Listener) evictWaiting() bool {
+	victim := li.fresh.Front()
+	if victim == nil {
+		victim = li.idle.Front()
+	}
+	if victim == nil {
+		return false
+	}
+	li.evict(victim.Value.(*Conn))
+	return true
+}
+
 // addHead adds to the memory of the connection's unfinished head.
 func (li *Listener) addHead(co *Conn, memory int64, now time.Time) {
 	li.mu.Lock()
@@ -179,6 +208,22 @@
 	co.headMemory = 0
 }
 
+// BeginRequest records that the head of a request on the connection is complete. It
+// returns false if the connection has been closed; the request must not run then. A
+// connection that is not from a [Listener] is ignored.
+func BeginRequest(nc net.Conn) bool {
+	co, ok := nc.(*Conn)
+	return !ok || co.BeginRequest()
+}
+
+// EndRequest records that no request is in flight on the connection any more. A
+// connection that is not from a [Listener] is ignored.
+func EndRequest(nc net.Conn) {
+	if co, ok := nc.(*Conn); ok {
+		co.EndRequest()
+	}
+}
+
 // Conn is a connection of a [Listener]. Its server calls BeginRequest and EndRequest.
 type Conn struct {
 	net.Conn
@@ -253,8 +298,7 @@
 func Attach(server *http.Server) {
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		co, ok := r.Context().Value(connKey{}).(*Conn)
-		if ok && !co.BeginRequest() {
+		if nc, ok := r.Context().Value(connKey{}).(net.Conn); ok && !BeginRequest(nc) {
 			panic(http.ErrAbortHandler)
 		}
 		handler.ServeHTTP(w, r)
@@ -263,8 +307,8 @@
 		return context.WithValue(ctx, connKey{}, nc)
 	}
 	server.ConnState = func(nc net.Conn, state http.ConnState) {
-		if co, ok := nc.(*Conn); ok && state == http.StateIdle {
-			co.EndRequest()
+		if state == http.StateIdle {
+			EndRequest(nc)
 		}
 	}
 }
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/guavastall/guavastall/internal/answerer"
+	"github.com/guavastall/guavastall/internal/connlimiter"
 	"github.com/guavastall/guavastall/internal/retrier"
 )
 
@@ -184,15 +185,6 @@
 	}
 }
 
-// requestTracker is a connection that follows the requests on it, such as one of a
-// listener with limits.
-type requestTracker interface {
-	// BeginRequest returns false if the connection has been closed and the request
-	// must not run.
-	BeginRequest() bool
-	EndRequest()
-}
-
 // listener wraps the accepted connections.
 type listener struct {
 	net.Listener
@@ -225,7 +217,7 @@
 	if sc.noticeSent {
 		return false
 	}
-	if rt, ok := sc.Conn.(requestTracker); ok && !rt.BeginRequest() {
+	if !connlimiter.BeginRequest(sc.Conn) {
 		return false
 	}
 	sc.busy = true
@@ -236,9 +228,7 @@
 	sc.mu.Lock()
 	sc.busy, sc.idleSince = false, time.Now()
 	sc.mu.Unlock()
-	if rt, ok := sc.Conn.(requestTracker); ok {
-		rt.EndRequest()
-	}
+	connlimiter.EndRequest(sc.Conn)
 }
 
 // closeNoticeText is the close notice. HTTP clients also understand it on an idle
--- a/internal/meshrunner/clients.go
+++ b/internal/meshrunner/clients.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/guavastall/guavastall/internal/acceptor"
@@ -17,7 +16,9 @@
 	// clientConnShare is the share of the descriptors and of the memory that clients'
 	// connections may use.
 	clientConnShare = 0.3
-	// clientHeadShare is the share of the memory for the heads of clients' requests.
+	// clientHeadShare is the share of the memory for the heads of clients' requests. It is
+	// above that of the unfinished heads that the listener allows, so that these leave room
+	// for ordinary requests.
 	clientHeadShare = 1.0 / 8
 )
 
@@ -26,14 +27,13 @@
 	se := ru.settings.Load()
 	bu := se.budget()
 	server := acceptor.New(acceptor.Config{
-		Concurrent: ru.carrier.MayRunConcurrently, MaxConns: bu.Conns(clientConnShare),
-		MaxPipelined: maxPipelined, MaxHeadBytes: maxHeaderBytes,
-		HeadMemory:  int64(clientHeadShare * float64(bu.Memory)),
+		Concurrent: ru.carrier.MayRunConcurrently, MaxPipelined: maxPipelined,
+		MaxHeadBytes: maxHeaderBytes, HeadMemory: int64(clientHeadShare * float64(bu.Memory)),
 		HeadTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		WriteTimeout: clientWriteTimeout, StopTimeout: shutdownTimeout,
 		Log: ru.Log, Metrics: ru.Metrics, Now: ru.Now,
 	}, ru.carrier.Clients())
-	listener, err := net.Listen("tcp", se.Clients.String())
+	listener, err := ru.listen("clients", se.Clients, bu.Conns(clientConnShare))
 	if err != nil {
 		done <- err
 		return
--- a/internal/meshrunner/servers.go
+++ b/internal/meshrunner/servers.go
@@ -71,16 +71,28 @@
 	ctx context.Context, name string, address netip.AddrPort, server *http.Server,
 	maxConns int, done chan<- error,
 ) {
-	listener, err := net.Listen("tcp", address.String())
+	listener, err := ru.listen(name, address, maxConns)
 	if err != nil {
 		done <- err
 		return
 	}
 	connlimiter.Attach(server)
-	serveUntil(ctx, server, connlimiter.New(listener, connlimiter.Config{
+	serveUntil(ctx, server, listener, done)
+}
+
+// listen listens at the address for at most the given number of connections. The metrics
+// and log lines of the limits have the name.
+func (ru *Runner) listen(
+	name string, address netip.AddrPort, maxConns int,
+) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, err
+	}
+	return connlimiter.New(listener, connlimiter.Config{
 		Name: name, MaxConns: maxConns, MaxHeadMemory: ru.settings.Load().budget().HeadMemory(),
 		Log: ru.Log, Metrics: ru.Metrics, Now: ru.Now,
-	}), done)
+	}), nil
 }
 
 // serveUntil runs a server until ctx is done, and reports its end on done.
--- a/internal/placer/bound_test.go
+++ b/internal/placer/bound_test.go
@@ -17,18 +17,18 @@
 func TestDepartedNodesDontSuspectDataCentre(t *testing.T) {
 	now, pl := epoch, newPlacer()
 	far := centreTargets("far", 1, 4)
-	fail := func(nn int) { pl.RecordFailure("far", far[nn].Node, now) }
+	fail := func(nn int) { pl.recordFailure("far", far[nn].Node, now) }
 	fail(0)
 	pl.Keep(nil, map[netip.AddrPort]bool{far[1].Node: true, far[2].Node: true})
 	fail(1)
-	assert.False(t, pl.Suspected("far"))
+	assert.False(t, pl.centres["far"].suspected())
 	fail(2)
 	re := Request{DataCentre: "near", Route: "r", Objective: time.Second}
 	_, ok := pl.Pick(far[3:], re, now)
 	assert.False(t, ok)
 	pl.Keep(nil, map[netip.AddrPort]bool{far[1].Node: true, far[2].Node: true})
 	assert.Empty(t, pl.ProbesDue(now.Add(time.Minute)))
-	pl.MarkUnreachable(far[3].Node, now)
+	pl.MarkUnreachable(far[3].Node, "far", now)
 	fail(3)
 	assert.Empty(t, pl.ProbesDue(now.Add(time.Minute)), "an attempt ends after its node left")
 	pl.Keep(nil, nil)
@@ -41,11 +41,11 @@
 	now, pl := epoch, newPlacer()
 	far := centreTargets("far", 1, 3)
 	for nn := range far[:2] {
-		pl.RecordFailure("far", far[nn].Node, now)
+		pl.recordFailure("far", far[nn].Node, now)
 	}
 	pl.Pick(far, Request{DataCentre: "near", Route: "r", Objective: time.Second}, now)
 	now = now.Add(minProbeDelay)
-	pl.RecordFailure("far", far[0].Node, now)
+	pl.recordFailure("far", far[0].Node, now)
 	assert.Len(t, pl.ProbesDue(now), 1)
 }
 
--- a/internal/placer/centre.go
+++ b/internal/placer/centre.go
@@ -16,7 +16,7 @@
 // may fail by itself.
 const suspectThreshold = 2
 
-// centre is the reachability of another data centre.
+// centre is the reachability of a data centre.
 type centre struct {
 	// failed are the nodes that failed since the last response.
 	failed map[netip.AddrPort]bool
@@ -31,9 +31,9 @@
 	return ce != nil && len(ce.failed) >= suspectThreshold
 }
 
-// RecordFailure records that a node of another data centre could not be reached or did
-// not respond.
-func (pl *Placer) RecordFailure(dataCentre string, node netip.AddrPort, now time.Time) {
+// recordFailure records that a node of the data centre could not be reached or did not
+// respond.
+func (pl *Placer) recordFailure(dataCentre string, node netip.AddrPort, now time.Time) {
 	if pl.hasLeft(node) {
 		return
 	}
@@ -48,25 +48,13 @@
 	if !suspected && ce.suspected() {
 		ce.probeAt = now.Add(minProbeDelay)
 	}
-	pl.centreOf[node] = dataCentre
 }
 
 // RecordResponse records that a node of the data centre responded.
-func (pl *Placer) RecordResponse(dataCentre string) {
-	ce := pl.centres[dataCentre]
-	if ce == nil {
-		return
-	}
-	for node := range ce.failed {
-		delete(pl.centreOf, node)
-	}
-	delete(pl.centres, dataCentre)
-}
+func (pl *Placer) RecordResponse(dataCentre string) { delete(pl.centres, dataCentre) }
 
-// Suspected reports whether the data centre counts as cut off.
-func (pl *Placer) Suspected(dataCentre string) bool { return pl.centres[dataCentre].suspected() }
-
-// usable reports whether requests may be sent to the target's node.
+// usable reports whether requests may be sent to the target's node. A node never gives
+// up its own data centre.
 func (pl *Placer) usable(ta *Target, re *Request) bool {
 	if !pl.Reachable(ta.Node) {
 		return false
@@ -83,7 +71,6 @@
 // that have left say nothing about the others of their data centre.
 func (pl *Placer) keepCentres(nodes map[netip.AddrPort]bool) {
 	left := func(node netip.AddrPort) bool { return !nodes[node] }
-	maps.DeleteFunc(pl.centreOf, func(node netip.AddrPort, _ string) bool { return left(node) })
 	maps.DeleteFunc(pl.centres, func(_ string, ce *centre) bool {
 		maps.DeleteFunc(ce.failed, func(node netip.AddrPort, _ bool) bool { return left(node) })
 		if left(ce.skipped) {
@@ -93,16 +80,16 @@
 	})
 }
 
-// centreProbesDue returns a node of each suspected data centre that is due for a probe.
-func (pl *Placer) centreProbesDue(now time.Time) []netip.AddrPort {
-	var due []netip.AddrPort
+// probeCentres marks a node of each suspected data centre that is due for a probe as
+// unreachable, so that it is probed like the others.
+func (pl *Placer) probeCentres(now time.Time) {
 	for dataCentre, ce := range pl.centres {
 		if !ce.suspected() || !ce.skipped.IsValid() || now.Before(ce.probeAt) {
 			continue
 		}
-		due = append(due, ce.skipped)
-		pl.centreOf[ce.skipped] = dataCentre
+		if pl.Reachable(ce.skipped) {
+			pl.nodes[ce.skipped] = &nodeBackoff{dataCentre: dataCentre, probeAt: now}
+		}
 		ce.skipped, ce.probeAt = netip.AddrPort{}, now.Add(maxProbeDelay)
 	}
-	return due
 }
--- a/internal/placer/centre_test.go
+++ b/internal/placer/centre_test.go
@@ -38,11 +38,10 @@
 			break
 		}
 		failed++
-		pl.MarkUnreachable(ch.Target.Node, now)
-		pl.RecordFailure("far", ch.Target.Node, now)
+		pl.MarkUnreachable(ch.Target.Node, "far", now)
 	}
 	assert.Equal(t, suspectThreshold, failed)
-	assert.True(t, pl.Suspected("far"))
+	assert.True(t, pl.centres["far"].suspected())
 	_, ok := pl.Pick(centreTargets("other", 2, 1), re, now)
 	assert.True(t, ok, "other data centres are used")
 	re.DataCentre = "far"
@@ -66,9 +65,9 @@
 	now := time.Unix(1_000, 0)
 	pl := New(rand.New(rand.NewPCG(1, 1)))
 	for _, ta := range centreTargets("far", 1, 8) {
-		pl.RecordFailure("far", ta.Node, now)
-		assert.False(t, pl.Suspected("far"))
+		pl.recordFailure("far", ta.Node, now)
+		assert.False(t, pl.centres["far"].suspected())
 		pl.RecordResponse("far")
 	}
-	assert.Empty(t, pl.centreOf)
+	assert.Empty(t, pl.centres)
 }
--- a/internal/placer/pace.go
+++ b/internal/placer/pace.go
@@ -17,8 +17,7 @@
 	// fullThreshold is the fraction of used slots above which a target of a service with
 	// known paces costs more, and fullPenalty the cost per further fraction in multiples of the
 	// work time. Nodes that know the same paces choose the same targets until they hear
-	// of each other's choices, so that some slots have to stay free. In the replay of
-	// TestUnevenTargets 0.9897 were in time with this penalty and 0.9765 without.
+	// of each other's choices, so that some slots have to stay free.
 	fullThreshold = 0.7
 	fullPenalty   = 4.0
 )
@@ -51,7 +50,7 @@
 		return
 	}
 	lo := pl.load(tp.Target)
-	lo.local = true
+	pl.pacedTargets[tp.Target] = true
 	lo.setPace(&tp.Pace)
 	if tp.Queue.At.After(lo.queue.At) {
 		lo.queue = tp.Queue
@@ -70,9 +69,10 @@
 // disturbances after they have ended.
 func (pl *Placer) Paces(all []TargetPace, except string, now time.Time) []TargetPace {
 	sorted := len(all)
-	for id, lo := range pl.loads {
-		if !lo.local || id == except || lo.pace.Latest <= 0 ||
-			now.Sub(lo.pace.At) > maxSharedPaceAge || sorted > 0 && id == all[0].Target {
+	for id := range pl.pacedTargets {
+		lo := pl.loads[id]
+		if id == except || now.Sub(lo.pace.At) > maxSharedPaceAge ||
+			sorted > 0 && id == all[0].Target {
 			continue
 		}
 		nn := len(all)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -153,16 +153,16 @@
 	slowness float64
 	// pace is the pace that the target announced, and local is true if the target is
 	// in this node's data centre.
-	pace  admitter.Pace
-	local bool
+	pace admitter.Pace
 	// queue is the newest state of the queue of a target with a known pace.
 	queue QueueState
 }
 
 // nodeBackoff is the state of an unreachable node.
 type nodeBackoff struct {
-	failures int
-	probeAt  time.Time
+	dataCentre string
+	failures   int
+	probeAt    time.Time
 }
 
 // Placer chooses targets. It is not safe for concurrent use.
@@ -181,10 +181,11 @@
 	// slowTargets holds the IDs of the targets for which [Report.IsSlow] was true of
 	// the last report.
 	slowTargets map[string]bool
-	// centres are the other data centres with nodes that failed since the last
-	// response, and centreOf the data centres of the failed and the probed nodes.
-	centres  map[string]*centre
-	centreOf map[netip.AddrPort]string
+	// pacedTargets holds the IDs of the targets of the own data centre whose pace is
+	// known.
+	pacedTargets map[string]bool
+	// centres are the data centres with nodes that failed since the last response.
+	centres map[string]*centre
 	// options are those of the latest call of Pick. The slice is reused.
 	options []option
 }
@@ -194,8 +195,8 @@
 	return &Placer{
 		random: random, loads: map[string]*load{}, nodes: map[netip.AddrPort]*nodeBackoff{},
 		routes: map[string]time.Duration{}, slowTargets: map[string]bool{},
-		centres: map[string]*centre{}, centreOf: map[netip.AddrPort]string{},
-		usualTimes: map[string]time.Duration{},
+		centres: map[string]*centre{}, usualTimes: map[string]time.Duration{},
+		pacedTargets: map[string]bool{},
 	}
 }
 
@@ -264,8 +265,10 @@
 		if _, _, at := lo.latestQueue(re.Rank); !at.IsZero() {
 			age = now.Sub(at)
 		}
-		lo.local = ta.DataCentre == re.DataCentre
 		work, pace = pl.expectedWork(lo, re.Route, now)
+		if pace > 0 && ta.DataCentre == re.DataCentre {
+			pl.pacedTargets[ta.ID] = true
+		}
 		wait, used = lo.expectedWait(ta.Slots, re.Rank, now)
 		if rest := lo.avoidUntil[re.Rank].Sub(now); rest > wait {
 			wait = rest
@@ -386,15 +389,29 @@
 	}
 }
 
-// MarkUnreachable records that a node could not be reached. A node that has left is
-// ignored, because it would be probed without end.
-func (pl *Placer) MarkUnreachable(node netip.AddrPort, now time.Time) {
+// MarkUnreachable records that a node of the data centre could not be reached or did not
+// respond. A node that has left is ignored, because it would be probed without end.
+func (pl *Placer) MarkUnreachable(node netip.AddrPort, dataCentre string, now time.Time) {
 	if pl.hasLeft(node) {
 		return
 	}
+	pl.recordFailure(dataCentre, node, now)
+	pl.backOff(node, dataCentre, now)
+}
+
+// MarkProbed records that a node is being probed. It is unreachable until it responds.
+func (pl *Placer) MarkProbed(node netip.AddrPort, now time.Time) {
+	if !pl.hasLeft(node) {
+		pl.backOff(node, "", now)
+	}
+}
+
+// backOff sets the time of the node's next probe. The data centre may be empty if the
+// node is known to be unreachable.
+func (pl *Placer) backOff(node netip.AddrPort, dataCentre string, now time.Time) {
 	nb := pl.nodes[node]
 	if nb == nil {
-		nb = &nodeBackoff{}
+		nb = &nodeBackoff{dataCentre: dataCentre}
 		pl.nodes[node] = nb
 	}
 	delay := min(minProbeDelay<<min(nb.failures, 8), maxProbeDelay)
@@ -404,17 +421,17 @@
 
 // MarkReachable records that a node responded.
 func (pl *Placer) MarkReachable(node netip.AddrPort) {
-	delete(pl.nodes, node)
-	if dataCentre, ok := pl.centreOf[node]; ok {
-		pl.RecordResponse(dataCentre)
-		delete(pl.centreOf, node)
+	if nb := pl.nodes[node]; nb != nil {
+		pl.RecordResponse(nb.dataCentre)
+		delete(pl.nodes, node)
 	}
 }
 
 // ProbesDue returns the nodes that are due for a probe: unreachable ones and one of each
 // data centre that counts as cut off.
 func (pl *Placer) ProbesDue(now time.Time) []netip.AddrPort {
-	due := pl.centreProbesDue(now)
+	pl.probeCentres(now)
+	var due []netip.AddrPort
 	for node, nb := range pl.nodes {
 		if !now.Before(nb.probeAt) {
 			due = append(due, node)
@@ -448,6 +465,7 @@
 		if !targets[id] && lo.outstanding == 0 {
 			delete(pl.loads, id)
 			delete(pl.slowTargets, id)
+			delete(pl.pacedTargets, id)
 		}
 	}
 	for node := range pl.nodes {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -125,11 +125,11 @@
 func TestUnreachableNodes(t *testing.T) {
 	pl := newPlacer()
 	targets := []Target{target(1, "a"), target(2, "b")}
-	pl.MarkUnreachable(node(1), epoch)
+	pl.MarkUnreachable(node(1), "dc", epoch)
 	assert.Equal(t, "t2", pick(t, pl, targets, request(), epoch))
 	assert.Empty(t, pl.ProbesDue(epoch))
 	assert.Equal(t, []netip.AddrPort{node(1)}, pl.ProbesDue(epoch.Add(minProbeDelay)))
-	pl.MarkUnreachable(node(2), epoch)
+	pl.MarkUnreachable(node(2), "dc", epoch)
 	_, ok := pl.Pick(targets, request(), epoch)
 	assert.False(t, ok, "no node is reachable")
 	pl.MarkReachable(node(1))
