One type for shared memory, one view for a concurrent request

The memory for heads and that for bodies were two types that did the same; both are reserver.Memory now. acceptor had a copy of a time-out test of carrier; it asks for os.ErrDeadlineExceeded, and a connection that timed out at the peer counts as closed.

A pipelined request was allowed to run by one view and handled by the view that was current when its handler began. If its route had stopped being idempotent in between, it could run although an earlier response closed the connection. It is now handled with the view that allowed it; TestConcurrentRequestKeepsView.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -25,6 +25,8 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+
+	"github.com/guavastall/guavastall/internal/reserver"
 )
 
 // Config holds the settings of a [Server].
@@ -32,7 +34,7 @@
 	// Concurrent reports whether a request may run while an earlier request of its
 	// connection is unanswered. It must be false for requests that must not run
 	// twice: if an earlier response closes the connection, the client sends them
-	// again.
+	// again. It may set the context that the handler gets.
 	Concurrent func(*http.Request) bool
 	// MaxPipelined bounds the unanswered requests of a connection.
 	MaxPipelined int
@@ -61,7 +63,7 @@
 type Server struct {
 	config  Config
 	handler http.Handler
-	memory  headMemory
+	memory  *reserver.Memory
 	events  *events
 
 	mu       sync.Mutex
@@ -75,7 +77,7 @@
 func New(cf Config, handler http.Handler) *Server {
 	sv := &Server{
 		config: cf, handler: handler, conns: map[*conn]struct{}{},
-		empty: make(chan struct{}), memory: headMemory{limit: cf.HeadMemory},
+		empty: make(chan struct{}), memory: reserver.New(cf.HeadMemory),
 	}
 	sv.events = newEvents(cf.Log, cf.Metrics, cf.Now)
 	return sv
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -74,7 +75,7 @@
 func (fi *fixture) released() {
 	fi.t.Helper()
 	require.Eventually(fi.t, func() bool {
-		return fi.connCount() == 0 && fi.memory.used.Load() == 0
+		return fi.connCount() == 0 && fi.memory.Used() == 0
 	}, generous, time.Millisecond)
 }
 
@@ -145,7 +146,7 @@
 	nn, err := cl.reader.Read(make([]byte, 1))
 	require.Zero(cl.t, nn)
 	require.Error(cl.t, err)
-	require.False(cl.t, isTimeout(err), "the connection stays open")
+	require.NotErrorIs(cl.t, err, os.ErrDeadlineExceeded, "the connection stays open")
 }
 
 // echo answers with the path of the request.
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -55,7 +56,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	co := &conn{
 		server: sv, Conn: nc, ctx: ctx, cancel: cancel,
-		answered: make(chan struct{}, 1), head: headReader{conn: nc, memory: &sv.memory},
+		answered: make(chan struct{}, 1), head: headReader{conn: nc, memory: sv.memory},
 	}
 	co.reader = bufio.NewReaderSize(&co.head, readBufferBytes)
 	return co
@@ -129,14 +130,14 @@
 // follow.
 func (co *conn) readNext() bool {
 	if !co.awaitFirstByte() || !co.awaitRoom() {
-		co.server.memory.release(co.endHead())
+		co.server.memory.Release(co.endHead())
 		return false
 	}
 	_ = co.SetReadDeadline(co.server.config.Now().Add(co.server.config.HeadTimeout))
 	rq, err := co.readHead()
 	held := co.endHead()
 	_ = co.SetReadDeadline(time.Time{})
-	if err == nil && !co.server.memory.take(requestOverheadBytes) {
+	if err == nil && !co.server.memory.Take(requestOverheadBytes) {
 		err = errHeadMemory
 	} else if err == nil {
 		held += requestOverheadBytes
@@ -148,7 +149,7 @@
 	ex := newExchange(co, rq, held)
 	if !co.enqueue(ex) {
 		ex.cancel()
-		co.server.memory.release(held)
+		co.server.memory.Release(held)
 		return false
 	}
 	return ex.awaitBody() && !ex.last
@@ -199,7 +200,7 @@
 		return false
 	case err == nil:
 		return true
-	case isTimeout(err) && idle, isClosed(err):
+	case errors.Is(err, os.ErrDeadlineExceeded) && idle, isClosed(err):
 		co.cancel()
 		return false
 	}
@@ -254,7 +255,7 @@
 // reject queues the response to a head that could not be read. It is the last one of
 // the connection. A client that has left gets none, and its requests are cancelled.
 func (co *conn) reject(err error, held int64) {
-	co.server.memory.release(held)
+	co.server.memory.Release(held)
 	status := statusOf(err)
 	if status == 0 {
 		co.cancel()
@@ -265,14 +266,10 @@
 	}
 }
 
-func isTimeout(err error) bool {
-	var te interface{ Timeout() bool }
-	return errors.As(err, &te) && te.Timeout()
-}
-
-// isClosed reports whether the client has closed the connection.
+// isClosed reports whether the client has closed the connection or cannot be reached any
+// more.
 func isClosed(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
 		errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.ECONNRESET) ||
-		errors.Is(err, syscall.EPIPE)
+		errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ETIMEDOUT)
 }
--- a/internal/acceptor/exchange.go
+++ b/internal/acceptor/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"strconv"
 	"strings"
@@ -92,7 +93,7 @@
 func (ex *exchange) run() {
 	co := ex.conn
 	defer co.handlers.Done()
-	defer co.server.memory.release(ex.held)
+	defer co.server.memory.Release(ex.held)
 	defer ex.cancel()
 	ok := ex.handle()
 	close(ex.ended)
@@ -253,7 +254,7 @@
 	}
 	if err != nil {
 		ex.failed = true
-		if isTimeout(err) {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
 			ex.conn.server.events.record(responseNotRead)
 		}
 	}
--- a/internal/acceptor/head.go
+++ b/internal/acceptor/head.go
@@ -5,8 +5,10 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"strings"
-	"sync/atomic"
+
+	"github.com/guavastall/guavastall/internal/reserver"
 )
 
 const (
@@ -31,29 +33,11 @@
 	errMalformed   = errors.New("malformed request")
 )
 
-// headMemory bounds the memory for the heads of all connections. It is safe for
-// concurrent use.
-type headMemory struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// take takes memory and reports whether it was available.
-func (hm *headMemory) take(size int64) bool {
-	if hm.used.Add(size) > hm.limit && hm.limit > 0 {
-		hm.used.Add(-size)
-		return false
-	}
-	return true
-}
-
-func (hm *headMemory) release(size int64) { hm.used.Add(-size) }
-
 // headReader reads from a connection. While a head is read, it counts the bytes against
 // the limit of a head and takes memory for them. It is used by one goroutine at a time.
 type headReader struct {
 	conn    net.Conn
-	memory  *headMemory
+	memory  *reserver.Memory
 	limited bool
 	// err is the error that ended the head. A later read must not continue behind it:
 	// http.ReadRequest takes the part of a line before an error for a line.
@@ -87,7 +71,7 @@
 func (hr *headReader) count(data []byte) error {
 	hr.left -= len(data)
 	size := headCost(data)
-	if !hr.memory.take(size) {
+	if !hr.memory.Take(size) {
 		return errHeadMemory
 	}
 	hr.held += size
@@ -117,7 +101,7 @@
 	held := hr.held
 	hr.held = 0
 	excess := min(headCost(rest), held)
-	hr.memory.release(excess)
+	hr.memory.Release(excess)
 	return held - excess
 }
 
@@ -183,7 +167,7 @@
 		return http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, errHeadMemory):
 		return http.StatusServiceUnavailable
-	case isTimeout(err):
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return http.StatusRequestTimeout
 	case isClosed(err):
 		return 0
@@ -198,7 +182,7 @@
 		return headTooLong
 	case errors.Is(err, errHeadMemory):
 		return headMemoryFull
-	case isTimeout(err):
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return headTimedOut
 	}
 	return headMalformed
--- a/internal/acceptor/queue.go
+++ b/internal/acceptor/queue.go
@@ -88,7 +88,7 @@
 // dropQueue forgets the requests that have not started. The caller must hold co.mu.
 func (co *conn) dropQueue() {
 	for _, ex := range co.queue[co.started:] {
-		co.server.memory.release(ex.held)
+		co.server.memory.Release(ex.held)
 		ex.cancel()
 		close(ex.ended)
 	}
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -26,6 +26,7 @@
 	"github.com/guavastall/guavastall/internal/matcher"
 	"github.com/guavastall/guavastall/internal/pacer"
 	"github.com/guavastall/guavastall/internal/placer"
+	"github.com/guavastall/guavastall/internal/reserver"
 	"github.com/guavastall/guavastall/internal/retrier"
 	"github.com/guavastall/guavastall/internal/stager"
 )
@@ -146,7 +147,7 @@
 	hedging map[string]*hedging
 
 	egress *egress
-	bodies *bodyMemory
+	bodies *reserver.Memory
 
 	poolsMu sync.Mutex
 	pools   map[netip.AddrPort]*pool
--- a/internal/carrier/endless_test.go
+++ b/internal/carrier/endless_test.go
@@ -111,5 +111,5 @@
 	for _, le := range leases {
 		le.release()
 	}
-	assert.Zero(t, memory.used.Load())
+	assert.Zero(t, memory.Used())
 }
--- a/internal/carrier/first.go
+++ b/internal/carrier/first.go
@@ -57,14 +57,31 @@
 
 // MayRunConcurrently reports whether a client's request may run while an earlier
 // request of the same connection is unanswered. If an earlier response closes the
-// connection, the client sends the request again.
+// connection, the client sends the request again. A request that may is handled with the
+// view that allowed it, as its route may be another one in a later view.
 func (ca *Carrier) MayRunConcurrently(r *http.Request) bool {
 	vi := ca.view.Load()
 	if vi == nil {
 		return false
 	}
 	route := vi.match(r.Host, r.RequestURI)
-	return route != nil && route.Kind == matcher.Idempotent
+	if route == nil || route.Kind != matcher.Idempotent {
+		return false
+	}
+	*r = *r.WithContext(context.WithValue(r.Context(), viewKey{}, vi))
+	return true
+}
+
+// viewKey is the key of the view in the context of a request.
+type viewKey struct{}
+
+// viewFor returns the view for the request: the current one, unless another one allowed
+// it to run concurrently.
+func (ca *Carrier) viewFor(r *http.Request) *View {
+	if vi, ok := r.Context().Value(viewKey{}).(*View); ok {
+		return vi
+	}
+	return ca.view.Load()
 }
 
 // serveClient handles a request at its first node.
@@ -76,7 +93,7 @@
 	if ca.stopTime.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	vi := ca.view.Load()
+	vi := ca.viewFor(r)
 	stopTimeout := limitBodyTime(w, r, now)
 	rq, err := ca.parse(r, bodyLimit(vi), now)
 	stopTimeout()
--- a/internal/carrier/first_test.go
+++ b/internal/carrier/first_test.go
@@ -1,6 +1,8 @@
 package carrier
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"testing"
@@ -8,6 +10,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/guavastall/guavastall/internal/matcher"
 	"github.com/guavastall/guavastall/internal/placer"
@@ -113,3 +116,32 @@
 	assert.Empty(t, decode("a 1;; b x 1 2 3;c -1 "+encodeLoad(&placer.Report{})))
 	assert.Empty(t, decode("a p120 130 5"), "nodes without paces skip them")
 }
+
+// Guards against a request that runs beside an earlier one because its route is
+// idempotent, and is handled by a later configuration in which the route is not.
+func TestConcurrentRequestKeepsView(t *testing.T) {
+	ca := New(Config{Now: time.Now}, openGate(), nil, metrics.NewRegistry())
+	view := func(kind matcher.Kind) *View {
+		cf := &matcher.Config{
+			Version:  1,
+			Services: map[string]*matcher.Service{"desk": {Name: "desk", HealthPath: "/health"}},
+			Routes: []*matcher.Route{{
+				Name: "r", Host: "h", Prefix: "/", Kind: kind, Attempts: 1, Timeout: time.Second,
+				Parts: []matcher.Part{{Service: "desk", Weight: 1}},
+			}},
+		}
+		require.NoError(t, cf.Check())
+		return &View{Config: cf}
+	}
+	request := func() *http.Request { return httptest.NewRequest(http.MethodGet, "http://h/a", nil) }
+	idempotent, other := view(matcher.Idempotent), view(matcher.NonIdempotent)
+	first, second := request(), request()
+	assert.False(t, ca.MayRunConcurrently(first), "no configuration yet")
+	first.RequestURI, second.RequestURI = "/a", "/a"
+	ca.SetView(idempotent)
+	assert.True(t, ca.MayRunConcurrently(first))
+	ca.SetView(other)
+	assert.Same(t, idempotent, ca.viewFor(first))
+	assert.False(t, ca.MayRunConcurrently(second))
+	assert.Same(t, other, ca.viewFor(second))
+}
--- a/internal/carrier/hedge_test.go
+++ b/internal/carrier/hedge_test.go
@@ -142,7 +142,7 @@
 				checkHop(t, <-tc.first.arrivals, <-tc.second.arrivals)
 			}
 			di.rq.release()
-			assert.Zero(t, di.bodies.used.Load())
+			assert.Zero(t, di.bodies.Used())
 			for _, ta := range di.candidates() { // each attempt has ended once
 				ou := di.placer.Outlook(placer.Choice{Target: ta}, di.forPlacer(time.Now()), time.Now())
 				assert.Equal(t, name != "no free slot" || ta.ID == "ta", ou.Free)
--- a/internal/carrier/memory.go
+++ b/internal/carrier/memory.go
@@ -4,7 +4,8 @@
 	"bytes"
 	"errors"
 	"io"
-	"sync/atomic"
+
+	"github.com/guavastall/guavastall/internal/reserver"
 )
 
 const (
@@ -27,25 +28,18 @@
 // errBodyMemory is returned if a body does not fit into the memory that is left.
 var errBodyMemory = errors.New("the node has no memory left for the body")
 
-// bodyMemory bounds the bytes of all bodies that the node holds. A body that comes
-// without end, or many large ones, must not end the process. It is safe for
-// concurrent use.
-type bodyMemory struct {
-	limit int64
-	used  atomic.Int64
-}
-
-func newBodyMemory(processMemory int64) *bodyMemory {
+// newBodyMemory returns the memory for all bodies that the node holds.
+func newBodyMemory(processMemory int64) *reserver.Memory {
 	if processMemory <= 0 {
-		return &bodyMemory{limit: defaultBodyMemory}
+		return reserver.New(defaultBodyMemory)
 	}
-	return &bodyMemory{limit: int64(bodyMemoryFraction * float64(processMemory))}
+	return reserver.New(int64(bodyMemoryFraction * float64(processMemory)))
 }
 
 // lease is the memory that the bodies of one request hold. It is not safe for
 // concurrent use; each attempt that runs beside another has a lease of its own.
 type lease struct {
-	memory *bodyMemory
+	memory *reserver.Memory
 	held   int64
 }
 
@@ -54,8 +48,7 @@
 	if le == nil {
 		return nil
 	}
-	if le.memory.used.Add(bytes) > le.memory.limit {
-		le.memory.used.Add(-bytes)
+	if !le.memory.Take(bytes) {
 		return errBodyMemory
 	}
 	le.held += bytes
@@ -64,7 +57,7 @@
 
 // release returns all memory of the lease.
 func (le *lease) release() {
-	le.memory.used.Add(-le.held)
+	le.memory.Release(le.held)
 	le.held = 0
 }
 
--- a/internal/carrier/request.go
+++ b/internal/carrier/request.go
@@ -189,7 +189,7 @@
 	return host
 }
 
-// hopFlag is a property of a request that the hop header tells.
+// hopFlag is a property of a request in the hop header.
 type hopFlag struct {
 	flag byte
 	set  *bool
