acceptor: return only when the listener is closed

The goroutine that closes the listener at the end of the context was not awaited. TestListenerIsClosedAfterServe failed before, with a listener whose Close is slow.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -94,7 +94,18 @@
 // the requests that it has read, within the stop timeout, and returns nil. A failure to
 // accept a connection, such as a lack of descriptors, does not end it.
 func (sv *Server) Serve(ctx context.Context, listener net.Listener) error {
-	defer context.AfterFunc(ctx, func() { _ = listener.Close() })()
+	closed := make(chan struct{})
+	stopClose := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		_ = listener.Close()
+	})
+	// The address is free when the first call of Close has returned; Accept may fail
+	// before.
+	defer func() {
+		if !stopClose() {
+			<-closed
+		}
+	}()
 	defer sv.stop()
 	delay := time.Duration(0)
 	for {
@@ -105,7 +116,6 @@
 			sv.start(nc)
 			continue
 		case ctx.Err() != nil:
-			_ = listener.Close()
 			return nil
 		case errors.Is(err, net.ErrClosed):
 			return err
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -252,3 +253,35 @@
 	cl.closed()
 	fi.released()
 }
+
+// slowListener is a listener whose first Close ends some time after Accept has failed, as
+// that of a TCP listener may. A second Close fails at once.
+type slowListener struct {
+	net.Listener
+	closing, closed atomic.Bool
+}
+
+func (sl *slowListener) Close() error {
+	if !sl.closing.CompareAndSwap(false, true) {
+		return net.ErrClosed
+	}
+	err := sl.Listener.Close()
+	time.Sleep(100 * time.Millisecond)
+	sl.closed.Store(true)
+	return err
+}
+
+// Guards against a server that returns before its listener is closed, so that the next
+// process cannot listen at the address.
+func TestListenerIsClosedAfterServe(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	slow := &slowListener{Listener: listener}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	server := New(Config{Metrics: metrics.NewRegistry(), Now: time.Now}, http.HandlerFunc(echo))
+	go func() { ended <- server.Serve(ctx, slow) }()
+	cancel()
+	require.NoError(t, wait(t, ended))
+	assert.True(t, slow.closed.Load())
+}
