--- a/review/rig2/born.go
+++ b/review/rig2/born.go
@@ -50,7 +50,7 @@
 	}
 	const workTime = 600 * time.Millisecond
 	for nn, ma := range de.machines[1:] {
-		if _, err := ma.startEndpoint(fmt.Sprintf("i-%d", nn+1), workTime, 0); err != nil {
+		if _, err := ma.startEndpoint(fmt.Sprintf("i-%d", nn+1), workTime, 0, 0); err != nil {
 			return err
 		}
 	}
@@ -62,7 +62,7 @@
 	if trouble {
 		clockError = clockAhead
 	}
-	first, err := ma.startEndpoint("i-0", workTime, clockError)
+	first, err := ma.startEndpoint("i-0", workTime, clockError, 0)
 	if err != nil {
 		return err
 	}
@@ -79,7 +79,7 @@
 	first.stop()
 	re.printf("endpoint i-0: crashed")
 	time.Sleep(downTime)
-	second, err := ma.startEndpoint("i-0", workTime, 0)
+	second, err := ma.startEndpoint("i-0", workTime, 0, 0)
 	if err != nil {
 		return err
 	}
--- a/review/rig2/endpoint.go
+++ b/review/rig2/endpoint.go
@@ -32,6 +32,8 @@
 	version  string
 	slots    int
 	workTime time.Duration
+	// coldUntil is the true time until which the endpoint is cold.
+	coldUntil time.Time
 
 	seq      atomic.Uint64
 	draining atomic.Bool
@@ -46,9 +48,10 @@
 
 const heartbeatInterval = 500 * time.Millisecond
 
-// startEndpoint starts an endpoint. clockError is the error of the machine's clock.
+// startEndpoint starts an endpoint that is cold for the given time. clockError is the error
+// of the machine's clock.
 func (ma *machine) startEndpoint(
-	id string, workTime time.Duration, clockError time.Duration,
+	id string, workTime, clockError, coldTime time.Duration,
 ) (*endpoint, error) {
 	listener, err := net.Listen("tcp", ma.address(portEndpoint))
 	if err != nil {
@@ -56,7 +59,7 @@
 	}
 	en := &endpoint{
 		ma: ma, id: id, born: time.Now().Add(clockError), version: "v1", slots: 18,
-		workTime: workTime, stopBeat: make(chan struct{}),
+		workTime: workTime, stopBeat: make(chan struct{}), coldUntil: time.Now().Add(coldTime),
 	}
 	en.server = &http.Server{Handler: http.HandlerFunc(en.serve), ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = en.server.Serve(listener) }()
@@ -89,7 +92,7 @@
 		"info": map[string]any{
 			"service": en.ma.service, "version": en.version, "zone": en.ma.zone, "slots": en.slots,
 		},
-		"status": map[string]any{"state": state, "seq": en.seq.Add(1), "warmup_left": "0ms"},
+		"status": map[string]any{"state": state, "seq": en.seq.Add(1), "warmup_left": fmt.Sprintf("%dms", en.coldLeft())},
 	})
 	if err != nil {
 		return false
@@ -97,6 +100,9 @@
 	return en.callNode(http.MethodPut, body)
 }
 
+// coldLeft returns the milliseconds for which the endpoint stays cold.
+func (en *endpoint) coldLeft() int64 { return max(time.Until(en.coldUntil).Milliseconds(), 0) }
+
 // leave sends the DELETE call and reports whether the node acknowledged it.
 func (en *endpoint) leave() bool { return en.callNode(http.MethodDelete, nil) }
 
@@ -126,7 +132,7 @@
 	header := w.Header()
 	if r.URL.Path == "/health" {
 		header.Set("X-Instance-Id", en.id)
-		header.Set("X-Cold-Ms", "0")
+		header.Set("X-Cold-Ms", strconv.FormatInt(en.coldLeft(), 10))
 		if en.draining.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
