--- a/review/rig2/born.go
+++ b/review/rig2/born.go
@@ -101,6 +101,7 @@
 	time.Sleep(time.Second)
 	cancel()
 	cl.senders.Wait()
+	cl.writeRecord()
 	return checkBorn(re, cl, second, acked, left)
 }
 
--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -99,3 +100,29 @@
 	}
 	return fmt.Sprint(ou.status)
 }
+
+// writeRecord writes what was sent, answered and run, in the order in which it was sent.
+func (cl *clients) writeRecord() {
+	runs := map[string][]string{}
+	for _, en := range cl.de.endpoints {
+		for _, ru := range en.allRuns() {
+			text := fmt.Sprintf("%s on %s at %.3f s", en.id, en.ma.ip,
+				ru.at.Sub(cl.de.record.start).Seconds())
+			if ru.ended.IsZero() {
+				text += ", cut off"
+			}
+			runs[ru.id] = append(runs[ru.id], text)
+		}
+	}
+	outs := cl.outcomes()
+	slices.SortFunc(outs, func(a, b outcome) int { return a.sent.Compare(b.sent) })
+	for _, out := range outs {
+		ran := "did not run"
+		if len(runs[out.id]) > 0 {
+			ran = "ran at " + strings.Join(runs[out.id], "; ")
+		}
+		cl.de.record.printAt(out.sent, "sent %s %s %s to %s; answered at %.3f s: %s; %s", out.id,
+			out.method, out.path, out.ma.ip, out.ended.Sub(cl.de.record.start).Seconds(),
+			out.String(), ran)
+	}
+}
--- a/review/rig2/deployment.go
+++ b/review/rig2/deployment.go
@@ -44,7 +44,9 @@
 	subnet   int
 	store    *standin.Store
 	machines []*machine
-	record   *record
+	// endpoints are all incarnations that were started.
+	endpoints []*endpoint
+	record    *record
 }
 
 // machine is one machine with its node process.
--- a/review/rig2/endpoint.go
+++ b/review/rig2/endpoint.go
@@ -61,6 +61,7 @@
 		ma: ma, id: id, born: time.Now().Add(clockError), version: "v1", slots: 18,
 		workTime: workTime, stopBeat: make(chan struct{}), coldUntil: time.Now().Add(coldTime),
 	}
+	ma.de.endpoints = append(ma.de.endpoints, en)
 	en.server = &http.Server{Handler: http.HandlerFunc(en.serve), ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = en.server.Serve(listener) }()
 	go en.sendHeartbeats()
